--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,6 @@
+/** An embeddable replicated log: elections, replication, snapshots, membership and storage. */
+export * from './errors/index.js';
+export * from './log/index.js';
+export * from './replica/index.js';
+export * from './storage/index.js';
+export * from './time/index.js';
--- /dev/null
+++ b/packages/consensus/src/replica/Election.ts
@@ -0,0 +1,102 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Member } from '../log/index.js';
+import type { VoteRequest } from './messages.js';
+import type { PeerNetwork } from './Peer.js';
+import type { ReplicaState } from './ReplicaState.js';
+
+const TICK_MS = 20;
+
+/** What an election needs from its replica. */
+export interface ElectionOptions {
+  state: ReplicaState;
+  network: PeerNetwork;
+  /** Starts the leader's tasks; called inside the mutex. */
+  onElected: () => void;
+}
+
+/**
+ * The task that campaigns when no leader is heard.
+ * @internal
+ */
+export class Election {
+  constructor(private readonly options: ElectionOptions) {}
+
+  /** Runs until the replica stops. */
+  async run(): Promise<void> {
+    const { state } = this.options;
+    while (!state.isStopped) {
+      await sleep(TICK_MS);
+      if (this.isDue()) await this.campaign().catch(() => undefined);
+    }
+  }
+
+  private isDue(): boolean {
+    const { state } = this.options;
+    if (state.isStopped || state.role === 'leader') return false;
+    return state.members.isVoter(state.options.id) && state.options.now() >= state.electionAt;
+  }
+
+  private async campaign(): Promise<void> {
+    const { state } = this.options;
+    state.resetElectionTimer();
+    if (!(await this.collectVotes(state.term + 1, true))) return;
+    const term = await state.mutex.run(() => this.voteForSelf());
+    if (term === undefined) return;
+    if (!(await this.collectVotes(term, false))) return;
+    await state.mutex.run(async () => {
+      if (state.term === term && state.role === 'candidate') this.options.onElected();
+    });
+  }
+
+  private async voteForSelf(): Promise<number | undefined> {
+    const { state } = this.options;
+    if (!this.isStillWanted()) return undefined;
+    await state.saveBallot({ term: state.term + 1, votedFor: state.options.id });
+    state.leaderId = undefined;
+    state.setRole('candidate');
+    return state.term;
+  }
+
+  private isStillWanted(): boolean {
+    const { state } = this.options;
+    const silence = state.options.now() - state.heardAt;
+    return state.role !== 'leader' && silence >= state.options.timings.electionTimeoutMs;
+  }
+
+  private async collectVotes(term: number, preVote: boolean): Promise<boolean> {
+    const { voters } = this.options.state.members;
+    const needed = Math.floor(voters.length / 2) + 1;
+    const others = voters.filter((member) => member.id !== this.options.state.options.id);
+    return new Promise((resolve) => {
+      let granted = 1;
+      if (granted >= needed) resolve(true);
+      const answers = others.map(async (member) => {
+        if (await this.askVote(member, term, preVote)) granted += 1;
+        if (granted >= needed) resolve(true);
+      });
+      Promise.allSettled(answers).then(() => resolve(granted >= needed));
+    });
+  }
+
+  private async askVote(member: Member, term: number, preVote: boolean): Promise<boolean> {
+    const { state, network } = this.options;
+    const request: VoteRequest = {
+      to: member.id,
+      term,
+      candidate: state.options.id,
+      lastIndex: state.log.lastIndex,
+      lastTerm: state.log.lastTerm,
+      preVote,
+    };
+    const peer = network.openPeer(member.address);
+    try {
+      const response = await peer.vote(request, state.options.timings.rpcTimeoutMs);
+      if (response.term > term) await state.mutex.run(() => state.adoptTerm(response.term));
+      return response.granted;
+    } catch {
+      return false;
+    } finally {
+      peer.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/replica/Replica.ts
@@ -0,0 +1,223 @@
+import { FatalFault, NotLeader } from '../errors/index.js';
+import { encodeMembers } from '../log/index.js';
+import type { Member } from '../log/index.js';
+import type { Storage } from '../storage/index.js';
+import { DEFAULT_TIMINGS } from '../time/index.js';
+import type { Timings } from '../time/index.js';
+import { Election } from './Election.js';
+import { Follower } from './Follower.js';
+import { Leadership } from './Leadership.js';
+import type {
+  AppendRequest,
+  AppendResponse,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from './messages.js';
+import type { PeerNetwork } from './Peer.js';
+import type { ReplicaEvent, Role } from './ReplicaEvent.js';
+import { ReplicaState } from './ReplicaState.js';
+import type { StateMachine } from './StateMachine.js';
+
+/** What a replica is made of. */
+export interface ReplicaOptions {
+  /** Identity stored beside the data; see `getOrCreateIdentity`. */
+  id: string;
+  name: string;
+  /** Address at which the other replicas reach this one. */
+  address: string;
+  storage: Storage;
+  machine: StateMachine;
+  network: PeerNetwork;
+  timings?: Partial<Timings>;
+  /** Number of applied entries after which a snapshot is taken. */
+  snapshotEvery?: number;
+  /** Monotonic clock in milliseconds; must go on while the process is frozen. */
+  now?: () => number;
+  random?: () => number;
+  onEvent?: (event: ReplicaEvent) => void;
+}
+
+/** A member as the leader sees it. */
+export interface MemberProgress extends Member {
+  matchIndex: number;
+}
+
+const SNAPSHOT_EVERY = 2000;
+
+/** One replica of a replicated log. */
+export class Replica {
+  private readonly state: ReplicaState;
+
+  private readonly follower: Follower;
+
+  private leadership: Leadership | undefined;
+
+  constructor(private readonly options: ReplicaOptions) {
+    this.state = new ReplicaState({
+      id: options.id,
+      storage: options.storage,
+      machine: options.machine,
+      timings: { ...DEFAULT_TIMINGS, ...options.timings },
+      snapshotEvery: options.snapshotEvery ?? SNAPSHOT_EVERY,
+      now: options.now ?? (() => performance.now()),
+      random: options.random ?? Math.random,
+      onEvent: options.onEvent ?? (() => {}),
+    });
+    this.follower = new Follower(this.state);
+    this.state.onApplied = (entry, result) =>
+      this.leadership?.proposals.settle(entry.index, result);
+  }
+
+  /**
+   * Loads the stored state and starts the tasks.
+   * @throws CorruptStorage when the stored state is damaged.
+   */
+  async start(): Promise<void> {
+    await this.state.load();
+    const election = new Election({
+      state: this.state,
+      network: this.options.network,
+      onElected: () => this.lead(),
+    });
+    election.run().catch(() => undefined);
+  }
+
+  /** Stops all tasks and closes the storage. */
+  async stop(): Promise<void> {
+    this.state.isStopped = true;
+    this.state.changed.notify();
+    await this.state.mutex.run(() => this.options.storage.close());
+  }
+
+  /** Starts a new cluster of this replica alone. Does nothing when the replica has joined one. */
+  async bootstrap(): Promise<void> {
+    await this.state.mutex.run(async () => {
+      if (this.isInitialised) return;
+      const { id, name, address } = this.options;
+      const payload = encodeMembers([{ id, name, address, voter: true }]);
+      await this.state.saveBallot({ term: 1, votedFor: undefined });
+      await this.state.append([{ index: 1, term: 1, kind: 'members', payload }]);
+    });
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  get role(): Role {
+    return this.state.role;
+  }
+
+  get term(): number {
+    return this.state.term;
+  }
+
+  get commitIndex(): number {
+    return this.state.commitIndex;
+  }
+
+  get appliedIndex(): number {
+    return this.state.appliedIndex;
+  }
+
+  get logBytes(): number {
+    return this.options.storage.getLogBytes();
+  }
+
+  /** True once the replica holds a member list. */
+  get isInitialised(): boolean {
+    return this.state.members.current.length > 0;
+  }
+
+  /** Gets the members with the progress that the leader knows of. */
+  getMembers(): MemberProgress[] {
+    return this.state.members.current.map((member) => ({
+      ...member,
+      matchIndex: this.leadership?.getMatchIndex(member.id) ?? 0,
+    }));
+  }
+
+  /** Gets the address of the leader, as far as this replica knows one. */
+  getLeaderAddress(): string | undefined {
+    const leader = this.state.role === 'leader' ? this.options.id : this.state.leaderId;
+    return this.state.members.current.find((member) => member.id === leader)?.address;
+  }
+
+  /** True while this replica leads and no other can have been elected. */
+  hasLease(): boolean {
+    return this.leadership?.hasLease() ?? false;
+  }
+
+  /**
+   * Appends a command and gets the result of its application once a quorum holds it.
+   * @throws NotLeader when nothing was proposed.
+   * @throws OutcomeUnknown when leadership was lost before the commit.
+   */
+  async propose(command: Uint8Array): Promise<unknown> {
+    return this.getLeadershipOrThrow().propose('command', command);
+  }
+
+  /**
+   * Lets a new replica catch up; it then becomes a voter in place of an older one of its name.
+   * @throws NotLeader when this replica does not lead.
+   */
+  addMember(member: Omit<Member, 'voter'>): void {
+    this.getLeadershipOrThrow().addJoining({ ...member, voter: false });
+  }
+
+  /**
+   * Removes a member.
+   * @throws NotLeader when this replica does not lead, or is the one to be removed.
+   */
+  async removeMember(id: string): Promise<void> {
+    const leadership = this.getLeadershipOrThrow();
+    if (id === this.options.id) throw new NotLeader(undefined);
+    while (leadership.isCurrent() && !leadership.canChangeMembers()) {
+      await this.waitForChange(this.state.options.timings.heartbeatMs);
+    }
+    const rest = this.state.members.current.filter((member) => member.id !== id);
+    await leadership.changeMembers(rest);
+  }
+
+  /** Waits until the commit position or the role changes, at most the given time. */
+  async waitForChange(timeoutMs: number): Promise<void> {
+    await this.state.changed.wait(timeoutMs);
+  }
+
+  /** Answers a candidate. */
+  async vote(request: VoteRequest): Promise<VoteResponse> {
+    this.checkRecipient(request.to);
+    return this.state.mutex.run(() => this.follower.vote(request));
+  }
+
+  /** Answers a leader. */
+  async append(request: AppendRequest): Promise<AppendResponse> {
+    this.checkRecipient(request.to);
+    return this.state.mutex.run(() => this.follower.append(request));
+  }
+
+  /** Takes a leader's snapshot. */
+  async installSnapshot(request: SnapshotRequest): Promise<SnapshotResponse> {
+    this.checkRecipient(request.to);
+    return this.state.mutex.run(() => this.follower.installSnapshot(request));
+  }
+
+  private checkRecipient(to: string): void {
+    if (this.state.isStopped) throw new FatalFault('the replica has stopped');
+    if (to !== this.options.id) throw new FatalFault(`message for ${to}, but this is another one`);
+  }
+
+  private getLeadershipOrThrow(): Leadership {
+    if (this.leadership?.isCurrent()) return this.leadership;
+    throw new NotLeader(this.getLeaderAddress());
+  }
+
+  private lead(): void {
+    this.state.leaderId = this.options.id;
+    this.state.setRole('leader');
+    this.leadership = new Leadership({ state: this.state, network: this.options.network });
+    this.leadership.start();
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/storage/FileStorage.ts
@@ -0,0 +1,110 @@
+import { CorruptStorage, StorageFault } from '../errors/index.js';
+import type { LogEntry } from '../log/index.js';
+import type { Disk } from './Disk.js';
+import { decodeEntry, encodeEntry } from './entryCodec.js';
+import { decodeFrames, encodeFrame } from './frames.js';
+import type { Ballot, Snapshot, Storage, StoredState } from './Storage.js';
+
+const LOG_FILE = 'log';
+const BALLOT_FILE = 'ballot';
+const SNAPSHOT_FILE = 'snapshot';
+
+/** Storage in three checksummed files: ballot, snapshot and log. */
+export class FileStorage implements Storage {
+  private logBytes = 0;
+
+  private isBroken = false;
+
+  /** @param disk - Files that are durable once an operation resolves. */
+  constructor(private readonly disk: Disk) {}
+
+  async load(): Promise<StoredState> {
+    const snapshot = await this.loadSnapshot();
+    const entries = await this.loadEntries();
+    const following = entries.filter((entry) => entry.index > (snapshot?.index ?? 0));
+    checkOrder(following, snapshot?.index ?? 0);
+    return { ballot: await this.loadBallot(), snapshot, entries: following };
+  }
+
+  async saveBallot(ballot: Ballot): Promise<void> {
+    await this.write(() => this.disk.replace(BALLOT_FILE, encodeFrame(toJson(ballot))));
+  }
+
+  async append(entries: LogEntry[]): Promise<void> {
+    const bytes = encodeEntries(entries);
+    await this.write(() => this.disk.append(LOG_FILE, bytes));
+    this.logBytes += bytes.length;
+  }
+
+  async replaceEntries(entries: LogEntry[]): Promise<void> {
+    const bytes = encodeEntries(entries);
+    await this.write(() => this.disk.replace(LOG_FILE, bytes));
+    this.logBytes = bytes.length;
+  }
+
+  async saveSnapshot(snapshot: Snapshot): Promise<void> {
+    const { state, ...head } = snapshot;
+    const bytes = Buffer.concat([encodeFrame(toJson(head)), encodeFrame(state)]);
+    await this.write(() => this.disk.replace(SNAPSHOT_FILE, bytes));
+  }
+
+  getLogBytes(): number {
+    return this.logBytes;
+  }
+
+  async close(): Promise<void> {
+    await this.disk.close();
+  }
+
+  private async write(operation: () => Promise<void>): Promise<void> {
+    if (this.isBroken) throw new StorageFault('an earlier write failed');
+    try {
+      await operation();
+    } catch (error) {
+      this.isBroken = true;
+      throw new StorageFault('write or sync failed', { cause: error });
+    }
+  }
+
+  private async loadBallot(): Promise<Ballot> {
+    const file = await this.disk.read(BALLOT_FILE);
+    if (!file) return { term: 0, votedFor: undefined };
+    const [payload] = decodeFrames(file, BALLOT_FILE).payloads;
+    if (!payload) throw new CorruptStorage(`${BALLOT_FILE}: cut short`);
+    return JSON.parse(payload.toString()) as Ballot;
+  }
+
+  private async loadSnapshot(): Promise<Snapshot | undefined> {
+    const file = await this.disk.read(SNAPSHOT_FILE);
+    if (!file) return undefined;
+    const [head, state] = decodeFrames(file, SNAPSHOT_FILE).payloads;
+    if (!head || !state) throw new CorruptStorage(`${SNAPSHOT_FILE}: cut short`);
+    return { ...(JSON.parse(head.toString()) as Omit<Snapshot, 'state'>), state };
+  }
+
+  private async loadEntries(): Promise<LogEntry[]> {
+    const file = await this.disk.read(LOG_FILE);
+    if (!file) return [];
+    const { payloads, intactBytes } = decodeFrames(file, LOG_FILE);
+    if (intactBytes < file.length) {
+      await this.write(() => this.disk.truncate(LOG_FILE, intactBytes));
+    }
+    this.logBytes = intactBytes;
+    return payloads.map(decodeEntry);
+  }
+}
+
+function toJson(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+function encodeEntries(entries: LogEntry[]): Buffer {
+  return Buffer.concat(entries.map((entry) => encodeFrame(encodeEntry(entry))));
+}
+
+function checkOrder(entries: LogEntry[], base: number): void {
+  entries.forEach((entry, position) => {
+    if (entry.index === base + position + 1) return;
+    throw new CorruptStorage(`${LOG_FILE}: entry ${entry.index} follows ${base + position}`);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/control/ControlProcess.ts
@@ -0,0 +1,185 @@
+import type { Server } from 'node:http';
+import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { FileStorage, FolderDisk, getOrCreateIdentity, Replica } from '@azurecart/consensus';
+import type { ReplicaEvent } from '@azurecart/consensus';
+import { createLogger, HybridClock, Invariants, Timeline } from '@azurecart/telemetry';
+import type { Logger } from '@azurecart/telemetry';
+import { AdminRoutes, closeServer, createHttpServer, listen, sendJson } from '../http/index.js';
+import { RpcClients, RpcContext, RpcServer } from '../rpc/index.js';
+import { Secret } from '../secrets/index.js';
+import type { ControlSettings } from '../settings/index.js';
+import { addConsensusRoutes } from './addConsensusRoutes.js';
+import { ControlServices } from './ControlServices.js';
+import { ControlState } from './ControlState.js';
+import { LeaderTasks } from './LeaderTasks.js';
+import { LoadPermits } from './LoadPermits.js';
+import { Membership } from './Membership.js';
+import { RpcPeers } from './RpcPeers.js';
+import { SessionLeases } from './SessionLeases.js';
+
+interface Parts {
+  replica: Replica;
+  rpcServer: RpcServer;
+  admin: Server;
+  clients: RpcClients;
+  tasks: LeaderTasks;
+  membership: Membership;
+}
+
+/** A control process: one replica of the system's durable state. */
+export class ControlProcess {
+  private readonly registry = new Registry();
+
+  private readonly clock = new HybridClock();
+
+  private readonly timeline: Timeline;
+
+  private readonly logger: Logger;
+
+  private readonly state = new ControlState();
+
+  private parts: Parts | undefined;
+
+  constructor(private readonly settings: ControlSettings) {
+    const { vm, timelineFile, logLevel } = settings;
+    this.logger = createLogger({ name: 'control', vm, level: logLevel });
+    this.timeline = new Timeline({
+      process: `control@${vm}`,
+      vm,
+      clock: this.clock,
+      file: timelineFile,
+    });
+    this.state.invariants = new Invariants({ registry: this.registry, timeline: this.timeline });
+  }
+
+  /** Starts the replica, its listeners and its tasks. */
+  async start(): Promise<void> {
+    const { settings, logger } = this;
+    const clients = new RpcClients(
+      new RpcContext(await Secret.load(settings.secrets.peerFile), this.clock),
+    );
+    const replica = await this.createReplica(clients);
+    const parts = await this.createParts(replica, clients);
+    this.parts = parts;
+    await replica.start();
+    await parts.rpcServer.start();
+    await listen(parts.admin, settings.admin);
+    this.addMetrics(replica);
+    parts.tasks.run().catch((error: unknown) => logger.error({ err: error }, 'tasks ended'));
+    parts.membership.run().catch((error: unknown) => logger.error({ err: error }, 'join ended'));
+    logger.info({ rpc: settings.address, id: replica.id }, 'control started');
+  }
+
+  /** Stops everything; what was acknowledged is on the disk already. */
+  async stop(): Promise<void> {
+    const { parts } = this;
+    if (!parts) return;
+    parts.tasks.stop();
+    parts.membership.stop();
+    await parts.rpcServer.stop();
+    await closeServer(parts.admin);
+    parts.clients.close();
+    await parts.replica.stop();
+    this.timeline.close();
+  }
+
+  private async createReplica(clients: RpcClients): Promise<Replica> {
+    const { settings } = this;
+    const disk = await FolderDisk.open(settings.dataFolder);
+    return new Replica({
+      id: await getOrCreateIdentity(disk),
+      name: settings.vm,
+      address: settings.address,
+      storage: new FileStorage(disk),
+      machine: this.state,
+      network: new RpcPeers(clients),
+      timings: {
+        electionTimeoutMs: settings.electionTimeoutMs,
+        heartbeatMs: settings.heartbeatMs,
+      },
+      snapshotEvery: settings.snapshotEvery,
+      onEvent: (event) => this.onReplicaEvent(event),
+    });
+  }
+
+  private async createParts(replica: Replica, clients: RpcClients): Promise<Parts> {
+    const { settings, state, timeline, logger } = this;
+    const now = (): number => performance.now();
+    const leases = new SessionLeases({ leaseMs: settings.leaseMs, now });
+    const permits = new LoadPermits(now);
+    const { leaseMs, pollMs, dataCentres, claimRetentionMs } = settings;
+    const shared = { replica, state, leases, permits, timeline };
+    const services = new ControlServices({ ...shared, leaseMs, pollMs, now });
+    const context = new RpcContext(await Secret.load(settings.secrets.peerFile), this.clock);
+    return {
+      replica,
+      clients,
+      rpcServer: new RpcServer({
+        listener: settings.rpc,
+        context,
+        routes: (router) => {
+          addConsensusRoutes(router, replica, settings.vm);
+          services.addRoutes(router);
+        },
+      }),
+      admin: await this.createAdmin(replica),
+      tasks: new LeaderTasks({ ...shared, dataCentres, claimRetentionMs, logger }),
+      membership: new Membership({
+        replica,
+        name: settings.vm,
+        address: settings.address,
+        members: settings.members,
+        clients,
+        logger,
+      }),
+    };
+  }
+
+  private async createAdmin(replica: Replica): Promise<Server> {
+    const routes = new AdminRoutes({
+      registry: this.registry,
+      timeline: this.timeline,
+      operatorSecret: await Secret.load(this.settings.secrets.operatorFile),
+      getUnreadiness: () => (replica.getLeaderAddress() ? undefined : 'no leader known'),
+    });
+    return createHttpServer(this.settings.admin, {}, (request, response) => {
+      if (!routes.handle(request, response)) {
+        sendJson(response, 404, { error: { message: 'no such path' } });
+      }
+    });
+  }
+
+  private onReplicaEvent(event: ReplicaEvent): void {
+    this.logger.info(event, 'replica');
+    this.timeline.record(`replica-${event.kind}`, { detail: JSON.stringify(event) });
+    if (event.kind !== 'fatal') return;
+    this.logger.fatal(event, 'the process ends');
+    process.exitCode = 1;
+    setImmediate(() => process.exit(1));
+  }
+
+  private addMetrics(replica: Replica): void {
+    const registers = [this.registry];
+    collectDefaultMetrics({ register: this.registry });
+    const add = (name: string, help: string, read: () => number): void => {
+      const gauge: Gauge = new Gauge({
+        name,
+        help,
+        registers,
+        collect: () => gauge.set(read()),
+      });
+    };
+    add('azurecart_control_is_leader', '1 on the leader', () => Number(replica.hasLease()));
+    add('azurecart_control_term', 'Election term', () => replica.term);
+    add('azurecart_control_commit_index', 'Last committed entry', () => replica.commitIndex);
+    add('azurecart_control_applied_index', 'Last applied entry', () => replica.appliedIndex);
+    add('azurecart_control_log_bytes', 'Size of the log file', () => replica.logBytes);
+    add('azurecart_control_claims', 'Idempotency keys kept', () => this.state.claims.size);
+    add('azurecart_control_release', 'Latest release', () => this.state.releases.number);
+    add(
+      'azurecart_control_sessions',
+      'Open sessions of entry processes',
+      () => this.state.sessions.getSessions().length,
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -0,0 +1,230 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { ConnectRouter, ServiceImpl } from '@connectrpc/connect';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Replica } from '@azurecart/consensus';
+import { NotLeader } from '@azurecart/consensus';
+import { ControlService, digestRelease, parseRelease, ValidationFault } from '@azurecart/protocol';
+import type {
+  RecordedOutcome,
+  RenewRequest,
+  SubmitRequest,
+  SubmitResponseSchema,
+} from '@azurecart/protocol';
+import type { Timeline } from '@azurecart/telemetry';
+import { toConnectError } from '../rpc/index.js';
+import type { ClaimDecision } from './ClaimTable.js';
+import { encodeCommand } from './commands.js';
+import type { ClaimResult, ControlCommand } from './commands.js';
+import type { ControlState } from './ControlState.js';
+import { getStatus, getView } from './controlViews.js';
+import type { LoadPermits } from './LoadPermits.js';
+import type { SubmitDecision } from './ReleaseTable.js';
+import type { SessionLeases } from './SessionLeases.js';
+import type { SessionRecord } from './SessionTable.js';
+
+/** What the services work on. */
+export interface ControlServicesOptions {
+  replica: Replica;
+  state: ControlState;
+  leases: SessionLeases;
+  permits: LoadPermits;
+  timeline: Timeline;
+  leaseMs: number;
+  pollMs: number;
+  now: () => number;
+}
+
+interface RenewAnswer {
+  leaseMs: number;
+  view?: ReturnType<typeof getView>;
+}
+
+type Calls = ServiceImpl<typeof ControlService>;
+
+/** What control offers to entry processes and operators. Only the leader answers. */
+export class ControlServices {
+  constructor(private readonly options: ControlServicesOptions) {}
+
+  /** Adds the services to a router. */
+  addRoutes(router: ConnectRouter): void {
+    router.service(ControlService, this.getCalls());
+  }
+
+  private getCalls(): Calls {
+    const { state, leases } = this.options;
+    return {
+      openSession: async (request) => {
+        const { dataCentre, address } = request;
+        const [vm, id] = splitSession(request.vm);
+        const record = await this.propose<SessionRecord>({
+          kind: 'open-session',
+          id,
+          vm,
+          dataCentre,
+          address,
+        });
+        leases.extend(record.id, 0);
+        return { session: record.id, fence: BigInt(record.fence) };
+      },
+      renew: (request) => this.renew(request),
+      closeSession: async ({ session }) => {
+        await this.propose({ kind: 'close-session', id: session });
+        return {};
+      },
+      yield: async ({ session }) => {
+        await this.propose({ kind: 'yield', session });
+        return {};
+      },
+      claim: async ({ key, fingerprint, claimant }) => {
+        const atMs = Date.now();
+        const decision = await this.propose<ClaimDecision>({
+          kind: 'claim',
+          key,
+          fingerprint,
+          claimant,
+          atMs,
+        });
+        const outcome = decision.state === 'settled' ? toOutcome(decision.result) : undefined;
+        return { state: decision.state, outcome };
+      },
+      settle: async ({ key, claimant, outcome }) => {
+        const result = fromOutcome(outcome);
+        const recorded = await this.propose<boolean>({ kind: 'settle', key, claimant, result });
+        return { recorded };
+      },
+      acquireLoad: ({ upstream, model, done }) => this.acquireLoad(`${upstream} ${model}`, done),
+      submit: (request) => this.submit(request),
+      status: () => {
+        this.checkLease();
+        return getStatus(this.options);
+      },
+      removeMember: async ({ id }) => {
+        await this.attempt(() => this.options.replica.removeMember(id));
+        return {};
+      },
+      drain: async ({ vm, draining }) => {
+        if (!state.sessions.getSessions().some((session) => session.vm === vm)) {
+          throw new ConnectError(`no session of VM ${vm}`, Code.NotFound);
+        }
+        await this.propose({ kind: 'drain', vm, isDraining: draining });
+        return {};
+      },
+    };
+  }
+
+  /** Extends a lease, and holds the answer until there is something to tell. */
+  private async renew(request: RenewRequest): Promise<RenewAnswer> {
+    const { state, leases, replica, leaseMs, now } = this.options;
+    const known = Number(request.knownVersion);
+    const endAt = now() + this.options.pollMs;
+    this.checkLease();
+    leases.extend(request.session, Number(request.appliedRelease));
+    while (state.viewVersion <= known && now() < endAt && replica.role === 'leader') {
+      await replica.waitForChange(endAt - now());
+    }
+    this.checkLease();
+    const isOpen = state.sessions.getSession(request.session) !== undefined;
+    if (!isOpen || !leases.extend(request.session, Number(request.appliedRelease))) {
+      throw new ConnectError('the session is closed', Code.NotFound);
+    }
+    if (state.viewVersion <= known) return { leaseMs };
+    const appliedRelease = Number(request.appliedRelease);
+    return { leaseMs, view: getView(this.options, { version: known, release: appliedRelease }) };
+  }
+
+  private acquireLoad(key: string, isDone: boolean): { granted: boolean; retryAfterMs: number } {
+    const { permits, state } = this.options;
+    this.checkLease();
+    if (isDone) permits.release(key);
+    const limits = state.release?.weightStore;
+    if (isDone || !limits) return { granted: false, retryAfterMs: 0 };
+    const retryAfterMs = permits.acquire(key, limits);
+    return { granted: retryAfterMs === 0, retryAfterMs };
+  }
+
+  private async submit(
+    request: SubmitRequest,
+  ): Promise<MessageInitShape<typeof SubmitResponseSchema>> {
+    const release = parseOrRefuse(request.release);
+    const decision = await this.propose<SubmitDecision>({
+      kind: 'submit',
+      number: release.number,
+      text: JSON.stringify(release),
+      digest: digestRelease(release),
+      operator: request.operator,
+      atMs: Date.now(),
+    });
+    const receipt = decision.accepted ? decision.receipt : decision.winner;
+    const kind = decision.accepted ? 'release-accepted' : 'release-refused';
+    this.options.timeline.record(kind, { release: release.number, detail: request.operator });
+    return {
+      accepted: decision.accepted,
+      number: BigInt(receipt?.number ?? release.number),
+      reason: decision.accepted ? '' : decision.reason,
+      operator: receipt?.operator ?? '',
+      digest: receipt?.digest ?? '',
+      acceptedAtMs: BigInt(receipt?.atMs ?? 0),
+    };
+  }
+
+  private async propose<T>(command: ControlCommand): Promise<T> {
+    return this.attempt(async () => {
+      this.checkLease();
+      return (await this.options.replica.propose(encodeCommand(command))) as T;
+    });
+  }
+
+  private checkLease(): void {
+    const { replica } = this.options;
+    if (!replica.hasLease()) throw toConnectError(new NotLeader(getOther(replica)));
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- Turns errors for all calls alike.
+  private async attempt<T>(operation: () => Promise<T>): Promise<T> {
+    try {
+      return await operation();
+    } catch (error) {
+      throw toConnectError(error);
+    }
+  }
+}
+
+/** Gets the leader to try next; none when this replica only lost its lease. */
+function getOther(replica: Replica): string | undefined {
+  return replica.role === 'leader' ? undefined : replica.getLeaderAddress();
+}
+
+/** Splits `vm#session`, so that a repeated opening finds its first one. */
+function splitSession(text: string): [string, string] {
+  const at = text.lastIndexOf('#');
+  if (at <= 0) throw new ConnectError('vm must be vm#session', Code.InvalidArgument);
+  return [text.slice(0, at), text];
+}
+
+function parseOrRefuse(text: string): ReturnType<typeof parseRelease> {
+  try {
+    return parseRelease(text);
+  } catch (error) {
+    if (!(error instanceof ValidationFault)) throw error;
+    throw new ConnectError(error.message, Code.InvalidArgument);
+  }
+}
+
+function toOutcome(result: ClaimResult): {
+  kind: string;
+  status: number;
+  contentType: string;
+  body: Uint8Array<ArrayBuffer>;
+} {
+  return { ...result, body: new Uint8Array(Buffer.from(result.body, 'base64')) };
+}
+
+function fromOutcome(outcome: RecordedOutcome | undefined): ClaimResult {
+  const kind = outcome?.kind === 'completed' || outcome?.kind === 'not-run' ? outcome.kind : 'unknown';
+  return {
+    kind,
+    status: outcome?.status ?? 0,
+    contentType: outcome?.contentType ?? '',
+    body: Buffer.from(outcome?.body ?? []).toString('base64'),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/control/ControlState.ts
@@ -0,0 +1,126 @@
+import type { StateMachine } from '@azurecart/consensus';
+import type { Release } from '@azurecart/protocol';
+import { parseRelease } from '@azurecart/protocol';
+import type { Invariants } from '@azurecart/telemetry';
+import { ClaimTable } from './ClaimTable.js';
+import type { Claim } from './ClaimTable.js';
+import type { ControlCommand } from './commands.js';
+import { ReleaseTable } from './ReleaseTable.js';
+import type { ReleaseTableState, SubmitDecision } from './ReleaseTable.js';
+import { SessionTable } from './SessionTable.js';
+import type { SessionTableState } from './SessionTable.js';
+
+interface Stored {
+  viewVersion: number;
+  membersVersion: number;
+  releases: ReleaseTableState;
+  sessions: SessionTableState;
+  claims: [string, Claim][];
+}
+
+/** The state that the control processes replicate. */
+export class ControlState implements StateMachine {
+  readonly releases = new ReleaseTable();
+
+  readonly sessions = new SessionTable();
+
+  readonly claims = new ClaimTable();
+
+  /** Log index of the last change that entry processes need to know. */
+  viewVersion = 0;
+
+  /** Log index of the last change of sessions or owners. */
+  membersVersion = 0;
+
+  /** The parsed release in force. */
+  release: Release | undefined;
+
+  /** Where the checks of each applied command are counted. */
+  invariants: Invariants | undefined;
+
+  apply(bytes: Uint8Array, index: number): unknown {
+    const command = JSON.parse(Buffer.from(bytes).toString()) as ControlCommand;
+    const isViewChange = !['claim', 'settle', 'expire-claims'].includes(command.kind);
+    if (isViewChange) this.viewVersion = index;
+    if (isViewChange && command.kind !== 'submit') this.membersVersion = index;
+    return this.applyCommand(command, index);
+  }
+
+  takeSnapshot(): Uint8Array {
+    const stored: Stored = {
+      viewVersion: this.viewVersion,
+      membersVersion: this.membersVersion,
+      releases: this.releases.getState(),
+      sessions: this.sessions.getState(),
+      claims: this.claims.getAll(),
+    };
+    return Buffer.from(JSON.stringify(stored));
+  }
+
+  restore(bytes: Uint8Array): void {
+    const stored = JSON.parse(Buffer.from(bytes).toString()) as Stored;
+    this.viewVersion = stored.viewVersion;
+    this.membersVersion = stored.membersVersion;
+    this.releases.restore(stored.releases);
+    this.sessions.restore(stored.sessions);
+    this.claims.restore(stored.claims);
+    this.parseLatest();
+  }
+
+  private applyCommand(command: ControlCommand, index: number): unknown {
+    switch (command.kind) {
+      case 'open-session': {
+        const { id, vm, dataCentre, address } = command;
+        const session = { id, vm, dataCentre, address, fence: index, hasYielded: false };
+        return this.sessions.open(session);
+      }
+      case 'close-session':
+        return this.sessions.close(command.id);
+      case 'yield':
+        return this.sessions.yield(command.session);
+      case 'assign':
+        return this.assign(command.assignments, index);
+      case 'drain':
+        return this.sessions.setDraining(command.vm, command.isDraining);
+      case 'submit':
+        return this.submit(command);
+      case 'claim': {
+        const { key, fingerprint, claimant, atMs } = command;
+        return this.claims.claim(key, { fingerprint, claimant, atMs });
+      }
+      case 'settle':
+        return this.claims.settle(command.key, command.claimant, command.result);
+      case 'expire-claims':
+        return this.claims.removeBefore(command.beforeMs);
+      default:
+        throw new Error('unknown command: this process is older than the log');
+    }
+  }
+
+  private assign(assignments: { shard: string; session: string }[], index: number): void {
+    assignments.forEach(({ shard, session }) => this.sessions.assign(shard, session, index));
+  }
+
+  private submit(command: Extract<ControlCommand, { kind: 'submit' }>): SubmitDecision {
+    const { text, kind, ...receipt } = command;
+    const before = this.release?.routing.shardsPerDataCentre;
+    const { number } = this.releases;
+    const decision = this.releases.submit(receipt, text);
+    this.invariants?.require(
+      'release-number-never-falls',
+      this.releases.number === number || this.releases.number === number + 1,
+      () => `${number} became ${this.releases.number}`,
+    );
+    this.parseLatest();
+    if (this.release?.routing.shardsPerDataCentre !== before) {
+      this.sessions.clearOwners();
+      this.membersVersion = this.viewVersion;
+    }
+    return decision;
+  }
+
+  private parseLatest(): void {
+    const text = this.releases.latestText;
+    this.release = text ? parseRelease(text) : undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/RpcPeer.ts
@@ -0,0 +1,94 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { Client } from '@connectrpc/connect';
+import type {
+  AppendRequest,
+  AppendResponse,
+  LogEntry,
+  Peer,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from '@azurecart/consensus';
+import type { ConsensusService } from '@azurecart/protocol';
+
+/** The connection that a peer uses. */
+export interface RpcPeerOptions {
+  getClient: () => Client<typeof ConsensusService>;
+  /** Gives up the connection, so that the next call opens a fresh one. */
+  dropConnection: () => void;
+}
+
+/** Another replica, reached by calls with a timeout each. */
+export class RpcPeer implements Peer {
+  constructor(private readonly options: RpcPeerOptions) {}
+
+  async vote(request: VoteRequest, timeoutMs: number): Promise<VoteResponse> {
+    const message = {
+      ...request,
+      term: BigInt(request.term),
+      lastIndex: BigInt(request.lastIndex),
+      lastTerm: BigInt(request.lastTerm),
+    };
+    const answer = await this.attempt((client) => client.vote(message, { timeoutMs }));
+    return { term: Number(answer.term), granted: answer.granted };
+  }
+
+  async append(request: AppendRequest, timeoutMs: number): Promise<AppendResponse> {
+    const message = {
+      ...request,
+      term: BigInt(request.term),
+      previousIndex: BigInt(request.previousIndex),
+      previousTerm: BigInt(request.previousTerm),
+      commitIndex: BigInt(request.commitIndex),
+      entries: request.entries.map(toMessage),
+    };
+    const answer = await this.attempt((client) => client.append(message, { timeoutMs }));
+    return {
+      term: Number(answer.term),
+      success: answer.success,
+      matchIndex: Number(answer.matchIndex),
+    };
+  }
+
+  async installSnapshot(request: SnapshotRequest, timeoutMs: number): Promise<SnapshotResponse> {
+    const message = {
+      ...request,
+      term: BigInt(request.term),
+      index: BigInt(request.index),
+      indexTerm: BigInt(request.indexTerm),
+      members: JSON.stringify(request.members),
+    };
+    const answer = await this.attempt((client) => client.installSnapshot(message, { timeoutMs }));
+    return { term: Number(answer.term) };
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- Connections are shared between peers.
+  close(): void {}
+
+  private async attempt<T>(
+    call: (client: Client<typeof ConsensusService>) => Promise<T>,
+  ): Promise<T> {
+    try {
+      return await call(this.options.getClient());
+    } catch (error) {
+      const { code } = ConnectError.from(error);
+      if (code === Code.DeadlineExceeded || code === Code.Unavailable) this.options.dropConnection();
+      throw error;
+    }
+  }
+}
+
+function toMessage(entry: LogEntry): {
+  index: bigint;
+  term: bigint;
+  kind: string;
+  payload: Uint8Array<ArrayBuffer>;
+} {
+  return {
+    index: BigInt(entry.index),
+    term: BigInt(entry.term),
+    kind: entry.kind,
+    payload: new Uint8Array(entry.payload),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/control/RpcPeers.ts
@@ -0,0 +1,16 @@
+import type { Peer, PeerNetwork } from '@azurecart/consensus';
+import { ConsensusService } from '@azurecart/protocol';
+import type { RpcClients } from '../rpc/index.js';
+import { RpcPeer } from './RpcPeer.js';
+
+/** Reaches the other replicas by calls. */
+export class RpcPeers implements PeerNetwork {
+  constructor(private readonly clients: RpcClients) {}
+
+  openPeer(address: string): Peer {
+    return new RpcPeer({
+      getClient: () => this.clients.getClient(ConsensusService, address),
+      dropConnection: () => this.clients.dropConnection(address),
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/addConsensusRoutes.ts
@@ -0,0 +1,68 @@
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { LogEntry, Member, Replica } from '@azurecart/consensus';
+import { ConsensusService } from '@azurecart/protocol';
+import type { LogEntry as EntryMessage } from '@azurecart/protocol';
+import { toConnectError } from '../rpc/index.js';
+
+/** Offers a replica to the other control processes. */
+export function addConsensusRoutes(router: ConnectRouter, replica: Replica, name: string): void {
+  router.service(ConsensusService, {
+    async vote(request) {
+      const answer = await replica.vote({
+        ...request,
+        term: Number(request.term),
+        lastIndex: Number(request.lastIndex),
+        lastTerm: Number(request.lastTerm),
+      });
+      return { term: BigInt(answer.term), granted: answer.granted };
+    },
+    async append(request) {
+      const answer = await replica.append({
+        to: request.to,
+        leader: request.leader,
+        term: Number(request.term),
+        previousIndex: Number(request.previousIndex),
+        previousTerm: Number(request.previousTerm),
+        commitIndex: Number(request.commitIndex),
+        entries: request.entries.map(fromMessage),
+      });
+      return {
+        term: BigInt(answer.term),
+        success: answer.success,
+        matchIndex: BigInt(answer.matchIndex),
+      };
+    },
+    async installSnapshot(request) {
+      const answer = await replica.installSnapshot({
+        to: request.to,
+        leader: request.leader,
+        term: Number(request.term),
+        index: Number(request.index),
+        indexTerm: Number(request.indexTerm),
+        members: JSON.parse(request.members) as Member[],
+        state: request.state,
+      });
+      return { term: BigInt(answer.term) };
+    },
+    probe() {
+      return { id: replica.id, name, initialised: replica.isInitialised };
+    },
+    join({ id, name: joiner, address }) {
+      try {
+        replica.addMember({ id, name: joiner, address });
+        return { accepted: true, leaderAddress: '' };
+      } catch (error) {
+        throw toConnectError(error);
+      }
+    },
+  });
+}
+
+function fromMessage(entry: EntryMessage): LogEntry {
+  return {
+    index: Number(entry.index),
+    term: Number(entry.term),
+    kind: entry.kind as LogEntry['kind'],
+    payload: entry.payload,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/control/commands.ts
@@ -0,0 +1,34 @@
+import type { Outcome } from '@azurecart/protocol';
+
+/** The recorded result of a call that may not be repeated. */
+export interface ClaimResult {
+  kind: Outcome;
+  status: number;
+  contentType: string;
+  /** Body in base 64. */
+  body: string;
+}
+
+/** A change of the control state. */
+export type ControlCommand =
+  | { kind: 'open-session'; id: string; vm: string; dataCentre: string; address: string }
+  | { kind: 'close-session'; id: string }
+  | { kind: 'yield'; session: string }
+  | { kind: 'assign'; assignments: { shard: string; session: string }[] }
+  | { kind: 'drain'; vm: string; isDraining: boolean }
+  | {
+      kind: 'submit';
+      number: number;
+      text: string;
+      digest: string;
+      operator: string;
+      atMs: number;
+    }
+  | { kind: 'claim'; key: string; fingerprint: string; claimant: string; atMs: number }
+  | { kind: 'settle'; key: string; claimant: string; result: ClaimResult }
+  | { kind: 'expire-claims'; beforeMs: number };
+
+/** Encodes a command as a log entry's payload. */
+export function encodeCommand(command: ControlCommand): Uint8Array {
+  return Buffer.from(JSON.stringify(command));
+}
--- /dev/null
+++ b/packages/daemon/src/control/index.ts
@@ -0,0 +1,2 @@
+/** The control role. */
+export * from './ControlProcess.js';
--- /dev/null
+++ b/packages/daemon/src/entry/clients/index.ts
@@ -0,0 +1,9 @@
+/** The side of clients and upstreams. */
+export * from './AnnouncementRouter.js';
+export * from './Authenticator.js';
+export * from './BodyBudget.js';
+export * from './ClientServer.js';
+export * from './CompletionHandler.js';
+export * from './PromptInspector.js';
+export * from './ServiceHandler.js';
+export * from './ShardChooser.js';
--- /dev/null
+++ b/packages/daemon/src/entry/index.ts
@@ -0,0 +1,2 @@
+/** The entry role. */
+export * from './EntryProcess.js';
--- /dev/null
+++ b/packages/daemon/src/entry/owner/Owners.ts
@@ -0,0 +1,134 @@
+import type { ControlClient } from '../../rpc/index.js';
+import type { ConfigurationLease, View } from '../view/index.js';
+import type {
+  AnnounceAnswer,
+  AnnounceCall,
+  MarkDecodingCall,
+  OwnerCalls,
+  ReleaseCall,
+  ReserveAnswer,
+  ReserveCall,
+  SummaryMessage,
+} from './OwnerCalls.js';
+import { ShardOwner } from './ShardOwner.js';
+import type { ShardOwnerOptions } from './ShardOwner.js';
+
+/** What the owned shards share. */
+export interface OwnersOptions {
+  getView: () => View;
+  /** Gets the session of this process. */
+  getSession: () => string;
+  lease: ConfigurationLease;
+  control: ControlClient;
+  shared: Pick<
+    ShardOwnerOptions,
+    'settings' | 'client' | 'timeline' | 'invariants' | 'logger'
+  >;
+}
+
+const LOAD_CALL_TIMEOUT_MS = 2000;
+const RETRY_MS = 100;
+const NOT_OWNER: ReserveAnswer = {
+  granted: false,
+  reason: 'owner-changed',
+  retryAfterMs: RETRY_MS,
+};
+
+/** The shards that this process owns. */
+export class Owners implements OwnerCalls {
+  private readonly owned = new Map<string, ShardOwner>();
+
+  private isYielding = false;
+
+  constructor(private readonly options: OwnersOptions) {}
+
+  /** Starts and stops shards so that they agree with the view. */
+  follow(view: View): void {
+    for (const [shard, owner] of this.owned) {
+      if (!this.isOwner(view, shard, owner.fence)) this.stopShard(shard);
+    }
+    for (const { shard, session, fence } of view.owners.values()) {
+      const isOwn = session === this.options.getSession() && !this.isYielding;
+      if (isOwn && !this.owned.has(shard)) this.startShard(shard, fence);
+    }
+  }
+
+  /** Stops granting on all shards, for good. */
+  yield(): void {
+    this.isYielding = true;
+    for (const shard of [...this.owned.keys()]) this.stopShard(shard);
+  }
+
+  getAll(): ShardOwner[] {
+    return [...this.owned.values()];
+  }
+
+  reserve(call: ReserveCall, signal: AbortSignal): Promise<ReserveAnswer> {
+    const owner = this.owned.get(call.shard ?? '');
+    return owner ? owner.reserve(call, signal) : Promise.resolve(NOT_OWNER);
+  }
+
+  async release(call: ReleaseCall): Promise<void> {
+    await this.owned.get(call.shard ?? '')?.release(call);
+  }
+
+  async markDecoding(call: MarkDecodingCall): Promise<void> {
+    this.owned.get(call.shard ?? '')?.markDecoding(call.reservation ?? '');
+  }
+
+  async announce(call: AnnounceCall): Promise<AnnounceAnswer> {
+    const owner = this.owned.get(call.shard ?? '');
+    return owner ? owner.announce(call) : { accepted: false, reason: 'owner-changed' };
+  }
+
+  async summarise(shard: string): Promise<SummaryMessage> {
+    return this.owned.get(shard)?.summarise() ?? { shard, models: [], services: [] };
+  }
+
+  private startShard(shard: string, fence: number): void {
+    const { getView, lease, shared } = this.options;
+    const owner = new ShardOwner({
+      ...shared,
+      shard,
+      fence,
+      getRelease: () => getView().release,
+      isOwner: () => lease.isHeld && this.isOwner(getView(), shard, fence),
+      isSessionOpen: (session) => getView().sessions.has(session),
+      acquireLoad: (upstream, model) => this.acquireLoad(upstream, model),
+      releaseLoad: (upstream, model) => this.releaseLoad(upstream, model),
+    });
+    this.owned.set(shard, owner);
+    shared.timeline.record('shard-owned', { fence, detail: shard });
+    owner.run().catch((error: unknown) => shared.logger.error({ err: error }, 'shard ended'));
+  }
+
+  private stopShard(shard: string): void {
+    const owner = this.owned.get(shard);
+    this.owned.delete(shard);
+    owner?.stop();
+    this.options.shared.timeline.record('shard-given-up', { detail: shard });
+  }
+
+  private isOwner(view: View, shard: string, fence: number): boolean {
+    const owner = view.owners.get(shard);
+    return owner?.fence === fence && owner.session === this.options.getSession();
+  }
+
+  private async acquireLoad(upstream: string, model: string): Promise<boolean> {
+    const request = { upstream, model, done: false };
+    const answer = await this.options.control.call(
+      (client, options) => client.acquireLoad(request, options),
+      { timeoutMs: LOAD_CALL_TIMEOUT_MS },
+    );
+    return answer.granted;
+  }
+
+  private async releaseLoad(upstream: string, model: string): Promise<void> {
+    const request = { upstream, model, done: true };
+    await this.options.control
+      .call((client, options) => client.acquireLoad(request, options), {
+        timeoutMs: LOAD_CALL_TIMEOUT_MS,
+      })
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/owner/addOwnerRoutes.ts
@@ -0,0 +1,20 @@
+import type { ConnectRouter } from '@connectrpc/connect';
+import { OwnerService } from '@azurecart/protocol';
+import type { OwnerCalls } from './OwnerCalls.js';
+
+/** Offers the shards of this process to the other entry processes. */
+export function addOwnerRoutes(router: ConnectRouter, owners: OwnerCalls): void {
+  router.service(OwnerService, {
+    reserve: (request, context) => owners.reserve(request, context.signal),
+    release: async (request) => {
+      await owners.release(request);
+      return {};
+    },
+    markDecoding: async (request) => {
+      await owners.markDecoding(request);
+      return {};
+    },
+    announce: (request) => owners.announce(request),
+    summarise: async ({ shard }) => ({ summary: await owners.summarise(shard) }),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/entry/owner/createScheduler.ts
@@ -0,0 +1,49 @@
+import {
+  ClassPlacement,
+  DeadlineAdmission,
+  FairQueue,
+  FifoQueue,
+  LeastLoadedPlacement,
+  OpenAdmission,
+  Scheduler,
+} from '@azurecart/scheduling';
+import type { Ledger, MinimumShares } from '@azurecart/scheduling';
+import type { Release } from '@azurecart/protocol';
+
+/** What a shard's scheduler is created from. */
+export interface SchedulerSource {
+  policy: 'fair' | 'baseline';
+  ledger: Ledger;
+  startWithinMs: number;
+  getRelease: () => Release | undefined;
+}
+
+/** Creates the scheduler of a shard by the policy of the settings. */
+export function createScheduler(source: SchedulerSource): Scheduler {
+  const { ledger, startWithinMs, getRelease } = source;
+  const shared = { ledger, startWithinMs, now: () => performance.now() };
+  if (source.policy === 'baseline') {
+    return new Scheduler({
+      ...shared,
+      queue: new FifoQueue(),
+      admission: new OpenAdmission(),
+      placement: new LeastLoadedPlacement(),
+      isPreemptive: false,
+    });
+  }
+  return new Scheduler({
+    ...shared,
+    queue: new FairQueue(() => getMinimumShares(getRelease())),
+    admission: new DeadlineAdmission((priority) => getMinimumShares(getRelease())[priority]),
+    placement: new ClassPlacement(),
+    isPreemptive: true,
+  });
+}
+
+function getMinimumShares(release: Release | undefined): MinimumShares {
+  return {
+    urgent: release?.priorities.urgent.minimumShare ?? 0,
+    standard: release?.priorities.standard.minimumShare ?? 0,
+    batch: release?.priorities.batch.minimumShare ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/errors/index.ts
@@ -0,0 +1,2 @@
+/** Errors of the daemon that cross its modules. */
+export * from './ControlUnreachable.js';
--- /dev/null
+++ b/packages/daemon/src/secrets/index.ts
@@ -0,0 +1,2 @@
+/** Secrets shared between parties. */
+export * from './Secret.js';
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,3 @@
+/** Settings of the processes. */
+export * from './loadSettings.js';
+export * from './settingsSchema.js';
--- /dev/null
+++ b/packages/daemon/src/settings/loadSettings.ts
@@ -0,0 +1,12 @@
+import { readFile } from 'node:fs/promises';
+import { parseDocument } from '@azurecart/protocol';
+import { settingsSchema } from './settingsSchema.js';
+import type { Settings } from './settingsSchema.js';
+
+/**
+ * Loads the settings of a process from a JSON file.
+ * @throws ValidationFault naming each field that does not fit.
+ */
+export async function loadSettings(file: string): Promise<Settings> {
+  return parseDocument(settingsSchema, await readFile(file, 'utf8'), `settings ${file}`);
+}
--- /dev/null
+++ b/packages/fakes/src/harness/ChildProcess.ts
@@ -0,0 +1,74 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess as NodeChild } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+
+/** What a child process runs. */
+export interface ChildProcessOptions {
+  name: string;
+  script: string;
+  arguments: string[];
+  logFile: string;
+}
+
+const EXIT_TIMEOUT_MS = 20_000;
+
+/** A process that a test, a bench or the demo has started. It is ended by its id only. */
+export class ChildProcess {
+  private child: NodeChild | undefined;
+
+  private exited: Promise<number | null> = Promise.resolve(null);
+
+  constructor(private readonly options: ChildProcessOptions) {}
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined && this.child.exitCode === null && !this.child.signalCode;
+  }
+
+  start(): void {
+    const log = createWriteStream(this.options.logFile, { flags: 'a' });
+    const child = spawn(process.execPath, [this.options.script, ...this.options.arguments], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    this.child = child;
+    this.exited = new Promise((resolve) => {
+      child.once('exit', (code) => resolve(code));
+    });
+  }
+
+  /** Freezes the process. */
+  freeze(): void {
+    this.child?.kill('SIGSTOP');
+  }
+
+  /** Wakes a frozen process. */
+  wake(): void {
+    this.child?.kill('SIGCONT');
+  }
+
+  /** Ends the process at once. */
+  async kill(): Promise<void> {
+    this.child?.kill('SIGKILL');
+    await this.exited;
+  }
+
+  /** Asks the process to end, and ends it when it takes too long. */
+  async stop(): Promise<number | null> {
+    if (!this.isRunning) return null;
+    this.wake();
+    this.child?.kill('SIGTERM');
+    const timer = setTimeout(() => this.child?.kill('SIGKILL'), EXIT_TIMEOUT_MS);
+    const code = await this.exited;
+    clearTimeout(timer);
+    return code;
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/harness/getFreePorts.ts
@@ -0,0 +1,24 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+
+/** Gets ports of the loopback interface that nobody listens on. */
+export async function getFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map(close));
+  return ports;
+}
+
+function listenAnywhere(): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => resolve(server));
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+  });
+}
--- /dev/null
+++ b/packages/fakes/src/harness/getSampleRelease.ts
@@ -0,0 +1,36 @@
+import { hashKey } from './hashKey.js';
+
+/** Gets a small release that the demo, the benches and the tests start from. */
+export function getSampleRelease(
+  number = 1,
+  changes: Record<string, unknown> = {},
+): Record<string, unknown> {
+  return {
+    number,
+    follows: number - 1,
+    note: 'sample release',
+    pools: [{ name: 'fitting-assist', checksFence: true }],
+    models: [{ name: 'fitting-assist', version: '1', pool: 'fitting-assist' }],
+    priorities: {
+      urgent: { minimumShare: 0, deadlineMs: 10_000, firstTokenMs: 600 },
+      standard: { minimumShare: 0.1, deadlineMs: 30_000, firstTokenMs: 5_000 },
+      batch: { minimumShare: 0.05, deadlineMs: 120_000, firstTokenMs: 60_000 },
+    },
+    customers: [
+      { name: 'dispatch', keyHashes: [hashKey('key-dispatch')], priority: 'urgent' },
+      { name: 'planning', keyHashes: [hashKey('key-planning')], priority: 'standard' },
+      { name: 'engineering', keyHashes: [hashKey('key-engineering')], priority: 'batch' },
+    ],
+    services: [
+      {
+        name: 'work-orders',
+        prefix: '/work-orders',
+        calls: [
+          { method: 'GET', path: '/meters/*', idempotent: true },
+          { method: 'POST', path: '/shutoffs', idempotent: false },
+        ],
+      },
+    ],
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,3 @@
+/** Small stand-ins for upstreams, and the tools that start processes. */
+export * from './engine/FakeEngine.js';
+export * from './harness/index.js';
--- /dev/null
+++ b/packages/protocol/src/errors/index.ts
@@ -0,0 +1,3 @@
+/** Errors about documents. */
+export * from './parseDocument.js';
+export * from './ValidationFault.js';
--- /dev/null
+++ b/packages/protocol/src/errors/parseDocument.ts
@@ -0,0 +1,31 @@
+import type { z } from 'zod';
+import { ValidationFault } from './ValidationFault.js';
+
+/**
+ * Parses JSON text against a schema.
+ * @param document - What the text is, for the error.
+ * @throws ValidationFault naming each field that does not fit.
+ */
+export function parseDocument<T extends z.ZodType>(
+  schema: T,
+  text: string,
+  document: string,
+): z.output<T> {
+  const result = schema.safeParse(parseJson(text, document), { error: describeIssue });
+  if (!result.success) throw ValidationFault.fromIssues(document, result.error);
+  return result.data;
+}
+
+function parseJson(text: string, document: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new ValidationFault(document, [{ path: '', message: `not JSON: ${String(error)}` }]);
+  }
+}
+
+function describeIssue(issue: z.core.$ZodRawIssue): string | undefined {
+  if (issue.code !== 'invalid_type') return undefined;
+  const found = issue.input === undefined ? 'nothing' : JSON.stringify(issue.input)?.slice(0, 60);
+  return `expected ${issue.expected}, found ${found}`;
+}
--- /dev/null
+++ b/packages/protocol/src/outcome/index.ts
@@ -0,0 +1,2 @@
+/** The outcome of a request. */
+export * from './Outcome.js';
--- /dev/null
+++ b/packages/protocol/src/release/index.ts
@@ -0,0 +1,5 @@
+/** The release document. */
+export * from './digestRelease.js';
+export * from './parseRelease.js';
+export * from './Priority.js';
+export * from './releaseSchema.js';
--- /dev/null
+++ b/packages/protocol/src/release/parseRelease.ts
@@ -0,0 +1,11 @@
+import { parseDocument } from '../errors/index.js';
+import { releaseSchema } from './releaseSchema.js';
+import type { Release } from './releaseSchema.js';
+
+/**
+ * Parses the JSON text of a release.
+ * @throws ValidationFault naming each field that does not fit.
+ */
+export function parseRelease(text: string): Release {
+  return parseDocument(releaseSchema, text, 'release');
+}
--- /dev/null
+++ b/packages/scheduling/src/budget/index.ts
@@ -0,0 +1,2 @@
+/** Budgets. */
+export * from './RetryBudget.js';
--- /dev/null
+++ b/packages/scheduling/src/placement/LeastLoadedPlacement.ts
@@ -0,0 +1,22 @@
+import type { Engine } from '../ledger/index.js';
+import { getMemoryTokens } from '../work/index.js';
+import type { Place, Placement, PlacementRequest } from './Placement.js';
+import { findGang } from './findGang.js';
+
+/** Baseline: the engine with the fewest running requests that has the memory. */
+export class LeastLoadedPlacement implements Placement {
+  // eslint-disable-next-line class-methods-use-this -- The baseline needs no state.
+  findPlace({ work, ledger }: PlacementRequest): Place | undefined {
+    const tokens = getMemoryTokens(work);
+    const engines = ledger.getServing(work.model);
+    const fitting = engines.filter((engine) => hasRoom(engine, tokens));
+    const [best] = fitting.sort((a, b) => a.running - b.running);
+    const shares = best ? [{ engine: best, tokens }] : findGang(engines, tokens);
+    if (!shares) return undefined;
+    return { shares, cachedTokens: 0, enginePriority: 0 };
+  }
+}
+
+function hasRoom(engine: Engine, tokens: number): boolean {
+  return engine.freeTokens >= tokens && engine.running < engine.capacity.maxBatch;
+}
--- /dev/null
+++ b/packages/scheduling/src/placement/index.ts
@@ -0,0 +1,4 @@
+/** Choice of engines. */
+export * from './ClassPlacement.js';
+export * from './LeastLoadedPlacement.js';
+export * from './Placement.js';
--- /dev/null
+++ b/packages/scheduling/src/queue/FifoQueue.ts
@@ -0,0 +1,40 @@
+import type { Work } from '../work/index.js';
+import type { Candidate, WorkQueue } from './WorkQueue.js';
+
+/** Baseline: first come, first served, whatever the priority or the customer. */
+export class FifoQueue implements WorkQueue {
+  private readonly works = new Map<string, Work>();
+
+  get size(): number {
+    return this.works.size;
+  }
+
+  add(work: Work): void {
+    this.works.set(work.id, work);
+  }
+
+  remove(id: string): boolean {
+    return this.works.delete(id);
+  }
+
+  getCandidates(): Candidate[] {
+    const [first] = this.works.values();
+    return first ? [{ work: first, isShareDue: false }] : [];
+  }
+
+  getAhead(work: Work): Work[] {
+    return this.getAll().filter((other) => other.id !== work.id);
+  }
+
+  getAll(): Work[] {
+    return [...this.works.values()];
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- The baseline keeps no record of service.
+  onPlaced(): void {}
+
+  // eslint-disable-next-line class-methods-use-this -- The baseline knows no priorities.
+  getShareAbove(): number {
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/queue/ServiceShares.ts
@@ -0,0 +1,34 @@
+import { WORK_PRIORITIES } from '../work/index.js';
+import type { WorkPriority } from '../work/index.js';
+
+/** Time after which service counts half. */
+const HALF_LIFE_MS = 2000;
+
+/** Service given to each priority, with older service counting less. */
+export class ServiceShares {
+  private readonly served = new Map<WorkPriority, number>();
+
+  private updatedAt = 0;
+
+  /** Adds service. */
+  add(priority: WorkPriority, cost: number, now: number): void {
+    this.decay(now);
+    this.served.set(priority, this.getServed(priority) + cost);
+  }
+
+  /** Gets the share of a priority in recent service. */
+  getShare(priority: WorkPriority): number {
+    const total = WORK_PRIORITIES.reduce((sum, each) => sum + this.getServed(each), 0);
+    return total === 0 ? 0 : this.getServed(priority) / total;
+  }
+
+  private getServed(priority: WorkPriority): number {
+    return this.served.get(priority) ?? 0;
+  }
+
+  private decay(now: number): void {
+    const factor = 0.5 ** ((now - this.updatedAt) / HALF_LIFE_MS);
+    this.updatedAt = now;
+    this.served.forEach((value, priority) => this.served.set(priority, value * factor));
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/scheduler/index.ts
@@ -0,0 +1,2 @@
+/** The scheduler of one shard. */
+export * from './Scheduler.js';
--- /dev/null
+++ b/packages/scheduling/src/work/index.ts
@@ -0,0 +1,2 @@
+/** The unit of scheduling. */
+export * from './Work.js';
--- /dev/null
+++ b/packages/telemetry/src/clock/index.ts
@@ -0,0 +1,2 @@
+/** Clocks. */
+export * from './HybridClock.js';
--- /dev/null
+++ b/packages/telemetry/src/invariants/index.ts
@@ -0,0 +1,3 @@
+/** Assertions inside the running program. */
+export * from './InvariantViolation.js';
+export * from './Invariants.js';
--- /dev/null
+++ b/packages/telemetry/src/log/index.ts
@@ -0,0 +1,2 @@
+/** Logging. */
+export * from './createLogger.js';
