--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,63 @@
+import js from '@eslint/js';
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+const product = ['@azurecart/protocol', '@azurecart/daemon', '@azurecart/cli', '@azurecart/fakes'];
+
+/** Forbids imports, so that the layers keep their direction. */
+const forbid = (files, group, message) => ({
+  files,
+  rules: { 'no-restricted-imports': ['error', { patterns: [{ group, message }] }] },
+});
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', '.data/**'] },
+  { name: 'js', ...js.configs.recommended },
+  plugins.stylistic,
+  plugins.importX,
+  ...configs.base.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      // One task for each connection is written straight down: it waits inside its loop.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': 'off',
+      'no-continue': 'off',
+      'no-constant-condition': ['error', { checkLoops: false }],
+      // The public method comes first and its local helper functions below it.
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': [
+        'error',
+        { functions: false, classes: true, variables: false },
+      ],
+      // Modules have named exports only, re-exported by a barrel for each folder.
+      'import-x/prefer-default-export': 'off',
+      // The compiler resolves the `.js` of an import to its `.ts` source.
+      'import-x/extensions': 'off',
+      '@typescript-eslint/consistent-type-imports': 'error',
+    },
+  },
+  forbid(
+    ['packages/consensus/src/**', 'packages/scheduling/src/**', 'packages/telemetry/src/**'],
+    [...product, '@connectrpc/*', 'node:http*'],
+    'Embeddable packages import nothing of the product and no transport.',
+  ),
+  forbid(
+    ['packages/protocol/src/**'],
+    ['@azurecart/*', 'node:http*'],
+    'Documents and messages know neither processes nor transports.',
+  ),
+  forbid(
+    ['packages/daemon/src/entry/owner/**'],
+    ['**/clients/*', 'node:http*'],
+    'Ownership knows neither clients nor transports.',
+  ),
+  forbid(
+    ['packages/daemon/src/control/Control*State.ts', 'packages/daemon/src/control/*Table.ts'],
+    ['@connectrpc/*', 'node:*', '**/rpc/*', '**/http/*'],
+    'The replicated state imports no adapter.',
+  ),
+  prettier,
+];
--- a/packages/consensus/src/replica/ReplicaState.ts
+++ b/packages/consensus/src/replica/ReplicaState.ts
@@ -50,7 +50,7 @@
 
   isStopped = false;
 
-  onApplied: AppliedListener = () => {};
+  onApplied: AppliedListener | undefined;
 
   readonly log = new MemoryLog();
 
@@ -188,11 +188,9 @@
     const entry = this.log.getEntry(this.appliedIndex + 1);
     if (!entry) return this.fail(`entry ${this.appliedIndex + 1} is missing`);
     const isCommand = entry.kind === 'command';
-    const result = isCommand
-      ? this.options.machine.apply(entry.payload, entry.index)
-      : undefined;
+    const result = isCommand ? this.options.machine.apply(entry.payload, entry.index) : undefined;
     this.appliedIndex = entry.index;
-    this.onApplied(entry, result);
+    this.onApplied?.(entry, result);
     return undefined;
   }
 
--- /dev/null
+++ b/packages/consensus/tests/storage/MemoryDisk.ts
@@ -0,0 +1,32 @@
+import type { Disk } from '../../src/index.js';
+
+/** Files in memory, with faults that a test switches on. */
+export class MemoryDisk implements Disk {
+  readonly files = new Map<string, Buffer>();
+
+  fault: 'none' | 'full' | 'sync' = 'none';
+
+  async read(name: string): Promise<Buffer | undefined> {
+    const file = this.files.get(name);
+    return file ? Buffer.from(file) : undefined;
+  }
+
+  async append(name: string, bytes: Uint8Array): Promise<void> {
+    if (this.fault === 'full') throw new Error('ENOSPC');
+    this.files.set(name, Buffer.concat([this.files.get(name) ?? Buffer.alloc(0), bytes]));
+    if (this.fault === 'sync') throw new Error('EIO');
+  }
+
+  async truncate(name: string, length: number): Promise<void> {
+    this.files.set(name, Buffer.from(this.files.get(name)?.subarray(0, length) ?? []));
+  }
+
+  async replace(name: string, bytes: Uint8Array): Promise<void> {
+    if (this.fault !== 'none') throw new Error('EIO');
+    this.files.set(name, Buffer.from(bytes));
+  }
+
+  async close(): Promise<void> {
+    this.fault = 'none';
+  }
+}
--- a/packages/daemon/src/control/ControlServices.ts
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -220,7 +220,8 @@
 }
 
 function fromOutcome(outcome: RecordedOutcome | undefined): ClaimResult {
-  const kind = outcome?.kind === 'completed' || outcome?.kind === 'not-run' ? outcome.kind : 'unknown';
+  const kind =
+    outcome?.kind === 'completed' || outcome?.kind === 'not-run' ? outcome.kind : 'unknown';
   return {
     kind,
     status: outcome?.status ?? 0,
--- a/packages/daemon/src/control/LeaderTasks.ts
+++ b/packages/daemon/src/control/LeaderTasks.ts
@@ -36,7 +36,9 @@
     while (!this.isStopped) {
       await sleep(TICK_MS);
       if (!replica.hasLease()) continue;
-      await this.tick().catch((error: unknown) => logger.warn({ err: error }, 'leader task failed'));
+      await this.tick().catch((error: unknown) =>
+        logger.warn({ err: error }, 'leader task failed'),
+      );
     }
   }
 
--- a/packages/daemon/src/control/RpcPeer.ts
+++ b/packages/daemon/src/control/RpcPeer.ts
@@ -73,7 +73,8 @@
       return await call(this.options.getClient());
     } catch (error) {
       const { code } = ConnectError.from(error);
-      if (code === Code.DeadlineExceeded || code === Code.Unavailable) this.options.dropConnection();
+      if (code === Code.DeadlineExceeded || code === Code.Unavailable)
+        this.options.dropConnection();
       throw error;
     }
   }
--- a/packages/daemon/src/entry/EntryProcess.ts
+++ b/packages/daemon/src/entry/EntryProcess.ts
@@ -150,9 +150,16 @@
     const streams = this.createStreams(secrets.upstream);
     const calls = new ServiceCalls();
     const inspector = new PromptInspector({ inlineBytes: settings.limits.inlineBytes });
-    const clientServer = this.createClientServer(
-      { secrets, control, follower, directory, chooser, streams, calls, inspector },
-    );
+    const clientServer = this.createClientServer({
+      secrets,
+      control,
+      follower,
+      directory,
+      chooser,
+      streams,
+      calls,
+      inspector,
+    });
     const closers = [engineClient, streams, calls];
     return { clients, follower, owners, chooser, rpcServer, clientServer, inspector, closers };
   }
@@ -230,13 +237,17 @@
     measures.addGauge('azurecart_lease_held', '1 while the lease holds', () =>
       Number(this.lease.isHeld),
     );
-    measures.addGauge('azurecart_open_requests', 'Requests in progress', () => {
-      return clientServer.openRequests;
-    });
+    measures.addGauge(
+      'azurecart_open_requests',
+      'Requests in progress',
+      () => clientServer.openRequests,
+    );
     measures.addGauge('azurecart_owned_shards', 'Shards owned', () => owners.getAll().length);
-    measures.addGauge('azurecart_ready_engines', 'Engines that take new work', () => {
-      return getEngines().filter((engine) => engine.isReady && engine.models.size > 0).length;
-    });
+    measures.addGauge(
+      'azurecart_ready_engines',
+      'Engines that take new work',
+      () => getEngines().filter((engine) => engine.isReady && engine.models.size > 0).length,
+    );
     measures.addGauge('azurecart_owned_engines', 'Engines owned', () => getEngines().length);
     measures.addGauge('azurecart_reserved_tokens', 'Engine memory reserved', () =>
       sum(getEngines().map((engine) => engine.reservedTokens)),
--- a/packages/daemon/src/entry/clients/AnnouncementRouter.ts
+++ b/packages/daemon/src/entry/clients/AnnouncementRouter.ts
@@ -26,14 +26,15 @@
 
 const senderSchema = z.object({ id: z.string(), dataCentre: z.string() });
 
+/** Tells whether a path is one for messages of upstreams. */
+export function isAnnouncementPath(path: string): boolean {
+  return KINDS.has(path);
+}
+
 /** Passes the messages of upstreams on to the owners of their shards. */
 export class AnnouncementRouter {
   constructor(private readonly options: AnnouncementRouterOptions) {}
 
-  isRoute(path: string): boolean {
-    return KINDS.has(path);
-  }
-
   /** Handles a message. */
   async handle(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { upstreamSecret } = this.options;
--- a/packages/daemon/src/entry/clients/ApiFault.ts
+++ b/packages/daemon/src/entry/clients/ApiFault.ts
@@ -38,7 +38,9 @@
     sendJson(response, status, this.toBody(), {
       ...headers,
       [OUTCOME_HEADER]: outcome,
-      ...(retryAfterMs ? { 'retry-after': String(Math.max(1, Math.ceil(retryAfterMs / 1000))) } : {}),
+      ...(retryAfterMs
+        ? { 'retry-after': String(Math.max(1, Math.ceil(retryAfterMs / 1000))) }
+        : {}),
     });
   }
 }
--- a/packages/daemon/src/entry/clients/ClientServer.ts
+++ b/packages/daemon/src/entry/clients/ClientServer.ts
@@ -5,6 +5,7 @@
 import type { EntrySettings } from '../../settings/index.js';
 import type { Measures } from '../measures/index.js';
 import type { ConfigurationLease, View } from '../view/index.js';
+import { isAnnouncementPath } from './AnnouncementRouter.js';
 import type { AnnouncementRouter } from './AnnouncementRouter.js';
 import { ApiFault } from './ApiFault.js';
 import { createBadRequest, createRefusal, createUnknown } from './apiFaults.js';
@@ -100,7 +101,7 @@
   private async route(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = (request.url ?? '').split('?')[0] ?? '';
     const { announcements, completions, services, lease, getView } = this.options;
-    if (announcements.isRoute(path)) {
+    if (isAnnouncementPath(path)) {
       await announcements.handle(path, request, response);
       return;
     }
--- a/packages/daemon/src/entry/clients/CompletionHandler.ts
+++ b/packages/daemon/src/entry/clients/CompletionHandler.ts
@@ -157,4 +157,3 @@
   });
   return controller.signal;
 }
-
--- a/packages/daemon/src/entry/clients/Generation.ts
+++ b/packages/daemon/src/entry/clients/Generation.ts
@@ -150,22 +150,16 @@
     const reason = answer?.reason ?? 'owner-changed';
     if (reason === 'owner-changed') {
       this.attempts += 1;
-      if (this.attempts > ATTEMPT_LIMIT * 4) throw this.createRefusal(reason, undefined);
+      if (this.attempts > ATTEMPT_LIMIT * 4) throw toRefusal(reason, undefined);
       await sleep(OWNER_RETRY_MS);
       return;
     }
     this.refused.add(shard);
     const isLast = this.refused.size >= SHARD_LIMIT || reason === 'expired';
-    if (isLast || !this.context.budget.takeRetry()) throw this.createRefusal(reason, answer);
+    if (isLast || !this.context.budget.takeRetry()) throw toRefusal(reason, answer);
     this.context.measures.onRetry(reason);
   }
 
-  private createRefusal(reason: string, answer: ReserveAnswer | undefined): ApiFault {
-    const code = reason.replaceAll('-', '_');
-    const message = `the request cannot be served in time: ${reason}`;
-    return createRefusal(code, message, answer?.retryAfterMs ?? NO_ENGINE_RETRY_MS);
-  }
-
   private getCall(shard: string): Parameters<OwnerCalls['reserve']>[0] {
     const { id, summary, terms, customer, release } = this.options;
     const remainingTokens = Math.max(1, summary.maxTokens - this.producedTokens);
@@ -322,3 +316,9 @@
     );
   }
 }
+
+function toRefusal(reason: string, answer: ReserveAnswer | undefined): ApiFault {
+  const code = reason.replaceAll('-', '_');
+  const message = `the request cannot be served in time: ${reason}`;
+  return createRefusal(code, message, answer?.retryAfterMs ?? NO_ENGINE_RETRY_MS);
+}
--- a/packages/daemon/src/entry/clients/ServiceHandler.ts
+++ b/packages/daemon/src/entry/clients/ServiceHandler.ts
@@ -166,7 +166,7 @@
     let hasRun = false;
     for (let count = 1; ; count += 1) {
       const upstream = this.chooseUpstream(prepared.service, avoided);
-      if (!upstream) throw this.giveUp(hasRun, 'no upstream of the service is known');
+      if (!upstream) throw giveUp(hasRun, 'no upstream of the service is known');
       this.checkSending(prepared, hasRun);
       try {
         return await this.callUpstream(prepared, upstream);
@@ -179,7 +179,7 @@
         const isOver = performance.now() >= prepared.dueAt;
         if (isOver) throw createTimeout(hasRun);
         if (!mayRepeat || count >= ATTEMPT_LIMIT || !this.options.retries.takeRetry()) {
-          throw this.giveUp(hasRun, error.message);
+          throw giveUp(hasRun, error.message);
         }
         this.options.measures.onRetry(error.outcome);
       }
@@ -219,13 +219,7 @@
   /** A call is sent only while its time and this process's lease last at this very moment. */
   private checkSending({ dueAt }: PreparedCall, hasRun: boolean): void {
     if (performance.now() >= dueAt) throw createTimeout(hasRun);
-    if (!this.options.lease.isHeld) throw this.giveUp(hasRun, 'the configuration lease has ended');
-  }
-
-  private giveUp(hasRun: boolean, message: string): ApiFault {
-    return hasRun
-      ? createUnknown('upstream_failed', message)
-      : createRefusal('upstream_failed', message);
+    if (!this.options.lease.isHeld) throw giveUp(hasRun, 'the configuration lease has ended');
   }
 
   private recordFailure({ id }: PreparedCall, upstream: string, fault: StreamFault): void {
@@ -289,3 +283,9 @@
   });
   response.end(answer.body);
 }
+
+function giveUp(hasRun: boolean, message: string): ApiFault {
+  return hasRun
+    ? createUnknown('upstream_failed', message)
+    : createRefusal('upstream_failed', message);
+}
--- a/packages/daemon/src/entry/clients/apiFaults.ts
+++ b/packages/daemon/src/entry/clients/apiFaults.ts
@@ -3,7 +3,11 @@
 const NOT_RUN = 'not-run' as const;
 
 /** Creates the error of a request that is wrong in itself. */
-export function createBadRequest(message: string, code = 'invalid_request', status = 400): ApiFault {
+export function createBadRequest(
+  message: string,
+  code = 'invalid_request',
+  status = 400,
+): ApiFault {
   return new ApiFault({ status, type: 'invalid_request_error', code, message, outcome: NOT_RUN });
 }
 
--- a/packages/daemon/src/entry/measures/Measures.ts
+++ b/packages/daemon/src/entry/measures/Measures.ts
@@ -15,6 +15,7 @@
 
 const LABELS = ['priority', 'length', 'customer'] as const;
 const SECONDS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60, 300];
+const LOOP_RESOLUTION_MS = 5;
 const NANOSECONDS_PER_MS = 1e6;
 
 /** The measures of an entry process. Label values are few, whatever clients send. */
@@ -77,7 +78,7 @@
       labelNames: ['reason'],
       registers,
     });
-    this.loopDelay = monitorEventLoopDelay({ resolution: 5 });
+    this.loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
     this.loopDelay.enable();
     this.addLoopDelay();
     collectDefaultMetrics({ register: registry });
@@ -120,7 +121,7 @@
 
   private addLoopDelay(): void {
     const read = (percentile: number): number =>
-      this.loopDelay.percentile(percentile) / NANOSECONDS_PER_MS;
+      Math.max(this.loopDelay.percentile(percentile) / NANOSECONDS_PER_MS - LOOP_RESOLUTION_MS, 0);
     this.addGauge('azurecart_loop_delay_p50_ms', 'Median event-loop delay', () => read(50));
     this.addGauge('azurecart_loop_delay_p99_ms', 'Event-loop delay, p99', () => read(99));
     this.addGauge('azurecart_loop_delay_max_ms', 'Longest event-loop delay', () => read(100));
--- a/packages/daemon/src/entry/owner/CacheIndex.ts
+++ b/packages/daemon/src/entry/owner/CacheIndex.ts
@@ -26,7 +26,8 @@
   resync(engine: Engine, cache: EngineState['cache']): void {
     if (this.sequences.has(engine.id)) return;
     this.sequences.set(engine.id, cache.sequence);
-    engine.prefixes = new Set(cache.prefixes);
+    engine.prefixes.clear();
+    cache.prefixes.forEach((prefix) => engine.prefixes.add(prefix));
   }
 
   /** Drops all entries of an engine. */
--- a/packages/daemon/src/entry/owner/Owners.ts
+++ b/packages/daemon/src/entry/owner/Owners.ts
@@ -20,10 +20,7 @@
   getSession: () => string;
   lease: ConfigurationLease;
   control: ControlClient;
-  shared: Pick<
-    ShardOwnerOptions,
-    'settings' | 'client' | 'timeline' | 'invariants' | 'logger'
-  >;
+  shared: Pick<ShardOwnerOptions, 'settings' | 'client' | 'timeline' | 'invariants' | 'logger'>;
 }
 
 const LOAD_CALL_TIMEOUT_MS = 2000;
--- a/packages/daemon/src/entry/owner/planModels.ts
+++ b/packages/daemon/src/entry/owner/planModels.ts
@@ -37,5 +37,7 @@
 
 function isSame(a: LoadedModel, b: LoadedModel): boolean {
   const adapters = [...a.adapters].sort().join(' ');
-  return a.name === b.name && a.version === b.version && adapters === [...b.adapters].sort().join(' ');
+  return (
+    a.name === b.name && a.version === b.version && adapters === [...b.adapters].sort().join(' ')
+  );
 }
--- a/packages/daemon/src/entry/upstreams/EngineStream.ts
+++ b/packages/daemon/src/entry/upstreams/EngineStream.ts
@@ -49,11 +49,11 @@
    */
   async *open(call: EngineCall): AsyncGenerator<Frame, void> {
     const request = this.send(call);
-    const response = await this.getResponse(request, call);
+    const response = await getResponse(request, call);
     let { offset } = call;
     let last: Frame | undefined;
     try {
-      for await (const frame of this.readFrames(response, call)) {
+      for await (const frame of readFrames(response, call)) {
         if (frame.id !== call.request || frame.offset < offset) {
           this.options.onForeignFrame(call, frame);
           if (frame.id !== call.request) throw new StreamFault('foreign frame', 'unknown');
@@ -102,43 +102,6 @@
     request.end(call.body);
     return request;
   }
-
-  private getResponse(request: ClientRequest, call: EngineCall): Promise<IncomingMessage> {
-    return new Promise((resolve, reject) => {
-      request.on('error', (error) => reject(toFault(error, request)));
-      request.on('response', (response) => {
-        if (response.statusCode === 200) {
-          resolve(response);
-          return;
-        }
-        response.resume();
-        const wasRefused = response.headers['azurecart-outcome'] === 'not-run';
-        const reason = `status ${response.statusCode} from ${call.address}`;
-        reject(new StreamFault(reason, wasRefused ? 'not-run' : 'unknown'));
-      });
-    });
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- Belongs to the stream it reads.
-  private async *readFrames(response: IncomingMessage, call: EngineCall): AsyncGenerator<Frame> {
-    const ready: Frame[] = [];
-    const parser = createParser({
-      onEvent: ({ data }) => {
-        if (data === '[DONE]') return;
-        ready.push(parseFrame(data));
-      },
-    });
-    response.setEncoding('utf8');
-    try {
-      for await (const text of response) {
-        parser.feed(text as string);
-        yield* ready.splice(0);
-      }
-    } catch (error) {
-      if (error instanceof StreamFault) throw error;
-      throw new StreamFault(`connection lost to ${call.address}`, 'unknown', { cause: error });
-    }
-  }
 }
 
 function parseFrame(data: string): Frame {
@@ -157,3 +120,39 @@
   const outcome = !request.reusedSocket && (isRefused || isUnconnected) ? 'not-run' : 'unknown';
   return new StreamFault(error.message, outcome, { cause: error });
 }
+
+function getResponse(request: ClientRequest, call: EngineCall): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.on('error', (error) => reject(toFault(error, request)));
+    request.on('response', (response) => {
+      if (response.statusCode === 200) {
+        resolve(response);
+        return;
+      }
+      response.resume();
+      const wasRefused = response.headers['azurecart-outcome'] === 'not-run';
+      const reason = `status ${response.statusCode} from ${call.address}`;
+      reject(new StreamFault(reason, wasRefused ? 'not-run' : 'unknown'));
+    });
+  });
+}
+
+async function* readFrames(response: IncomingMessage, call: EngineCall): AsyncGenerator<Frame> {
+  const ready: Frame[] = [];
+  const parser = createParser({
+    onEvent: ({ data }) => {
+      if (data === '[DONE]') return;
+      ready.push(parseFrame(data));
+    },
+  });
+  response.setEncoding('utf8');
+  try {
+    for await (const text of response) {
+      parser.feed(text as string);
+      yield* ready.splice(0);
+    }
+  } catch (error) {
+    if (error instanceof StreamFault) throw error;
+    throw new StreamFault(`connection lost to ${call.address}`, 'unknown', { cause: error });
+  }
+}
--- a/packages/daemon/src/rpc/ControlClient.ts
+++ b/packages/daemon/src/rpc/ControlClient.ts
@@ -7,10 +7,7 @@
 import type { RpcClients } from './RpcClients.js';
 
 /** A call to the leader of the control processes. */
-type ControlCall<T> = (
-  client: Client<typeof ControlService>,
-  options: CallOptions,
-) => Promise<T>;
+type ControlCall<T> = (client: Client<typeof ControlService>, options: CallOptions) => Promise<T>;
 
 /** Limits of a call to control. */
 export interface ControlCallOptions {
--- a/packages/fakes/src/engine/FakeEngine.ts
+++ b/packages/fakes/src/engine/FakeEngine.ts
@@ -159,9 +159,9 @@
       fence: this.fence,
       leaving: this.leftAt !== undefined,
       models: [...this.models.values()],
-      held: this.batch.getAll().map(({ id, tokens, fence, leads }) => {
-        return { request: id, tokens, fence, leads };
-      }),
+      held: this.batch
+        .getAll()
+        .map(({ id, tokens, fence, leads }) => ({ request: id, tokens, fence, leads })),
       cache: { sequence: this.cacheSequence, prefixes: this.cache.getAll() },
     };
   }
@@ -247,7 +247,9 @@
     const id = String(headers[EngineHeader.request]);
     const prefixes = hashPrefixes(text);
     const cached = this.cache.getHits(prefixes) * BLOCK_TOKENS;
-    const peers = String(headers[EngineHeader.peers] ?? '').split(',').filter(Boolean);
+    const peers = String(headers[EngineHeader.peers] ?? '')
+      .split(',')
+      .filter(Boolean);
     const produced = Number(headers[EngineHeader.offset]);
     const mark = getPromptMark(text);
     const send = (frame: Omit<Frame, 'id'>): void => {
@@ -306,7 +308,8 @@
       this.cacheSequence += 1;
       const isLost = Math.random() < this.settings.gapRate;
       const event = { incarnation: this.incarnation, sequence: this.cacheSequence, ...change };
-      if (!isLost) await this.announcer.post(UpstreamPath.cacheEvents, event).catch(() => undefined);
+      if (!isLost)
+        await this.announcer.post(UpstreamPath.cacheEvents, event).catch(() => undefined);
     }
   }
 }
--- a/packages/fakes/src/harness/Announcer.ts
+++ b/packages/fakes/src/harness/Announcer.ts
@@ -42,7 +42,9 @@
     const { incarnation } = this.getAnnouncement();
     for (let attempt = 0; attempt < 20; attempt += 1) {
       const sequence = this.nextSequence();
-      const isTaken = await this.post(UpstreamPath.leave, { incarnation, sequence }).catch(() => false);
+      const isTaken = await this.post(UpstreamPath.leave, { incarnation, sequence }).catch(
+        () => false,
+      );
       if (isTaken) return;
       await sleep(100);
     }
@@ -66,7 +68,8 @@
   private async announce(): Promise<void> {
     const body = { ...this.getAnnouncement(), sequence: this.nextSequence() };
     const isTaken = await this.post(UpstreamPath.announce, body).catch(() => false);
-    if (!isTaken) await this.post(UpstreamPath.announce, { ...body, sequence: this.nextSequence() });
+    if (!isTaken)
+      await this.post(UpstreamPath.announce, { ...body, sequence: this.nextSequence() });
   }
 
   private nextSequence(): number {
--- a/packages/fakes/src/harness/Fleet.ts
+++ b/packages/fakes/src/harness/Fleet.ts
@@ -32,9 +32,11 @@
   dataFolder: string;
 }
 
-const UPSTREAM_SECRET = 'upstream-secret';
+/** Secret of the fake upstreams. */
+export const UPSTREAM_SECRET = 'upstream-secret';
 const PEER_SECRET = 'peer-secret';
-const OPERATOR_SECRET = 'operator-secret';
+/** Secret of the operators of a fleet. */
+export const OPERATOR_SECRET = 'operator-secret';
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 
@@ -54,14 +56,6 @@
 
   constructor(private readonly options: FleetOptions) {}
 
-  get upstreamSecret(): string {
-    return UPSTREAM_SECRET;
-  }
-
-  get operatorSecret(): string {
-    return OPERATOR_SECRET;
-  }
-
   get entryUrls(): string[] {
     return this.entries.map((entry) => entry.url);
   }
@@ -110,10 +104,7 @@
   }
 
   /** Makes a call to the control leader. */
-  async callControl<T>(
-    operation: ControlOperation<T>,
-    timeoutMs = READY_TIMEOUT_MS,
-  ): Promise<T> {
+  async callControl<T>(operation: ControlOperation<T>, timeoutMs = READY_TIMEOUT_MS): Promise<T> {
     if (!this.control) throw new Error('the fleet has not been started');
     return this.control.call(operation, { timeoutMs });
   }
@@ -122,7 +113,7 @@
   async waitForModel(model: string, engines = 1): Promise<void> {
     const endAt = performance.now() + READY_TIMEOUT_MS;
     while (performance.now() < endAt) {
-      const loads = await Promise.all(this.entries.map((entry) => this.getEngineCount(entry)));
+      const loads = await Promise.all(this.entries.map((entry) => getEngineCount(entry)));
       const total = loads.reduce((sum, count) => sum + count, 0);
       if (total >= engines && (await this.areReady())) {
         await sleep(1000);
@@ -155,12 +146,6 @@
     return answers.every(Boolean);
   }
 
-  private async getEngineCount(entry: FleetMember): Promise<number> {
-    const response = await fetch(`${entry.url}/metrics`).catch(() => undefined);
-    const text = (await response?.text()) ?? '';
-    return Number(/^azurecart_ready_engines (\d+)/m.exec(text)?.[1] ?? 0);
-  }
-
   private async writeSecrets(): Promise<void> {
     await writeFile(this.getPath('peer.secret'), PEER_SECRET);
     await writeFile(this.getPath('upstream.secret'), UPSTREAM_SECRET);
@@ -245,3 +230,9 @@
   client: Client<typeof ControlService>,
   options: { timeoutMs?: number },
 ) => Promise<T>;
+
+async function getEngineCount(entry: FleetMember): Promise<number> {
+  const response = await fetch(`${entry.url}/metrics`).catch(() => undefined);
+  const text = (await response?.text()) ?? '';
+  return Number(/^azurecart_ready_engines (\d+)/m.exec(text)?.[1] ?? 0);
+}
--- a/packages/protocol/src/release/digestRelease.ts
+++ b/packages/protocol/src/release/digestRelease.ts
@@ -3,7 +3,9 @@
 
 /** Gets the SHA-256 of a release with all defaults filled in, so that equal content is equal. */
 export function digestRelease(release: Release): string {
-  return createHash('sha256').update(JSON.stringify(sortKeys(release))).digest('hex');
+  return createHash('sha256')
+    .update(JSON.stringify(sortKeys(release)))
+    .digest('hex');
 }
 
 function sortKeys(value: unknown): unknown {
--- a/packages/scheduling/src/admission/Admission.ts
+++ b/packages/scheduling/src/admission/Admission.ts
@@ -4,13 +4,7 @@
 
 /** Why a work was refused before it ran. */
 export type RefusalReason =
-  | 'deadline'
-  | 'queue-full'
-  | 'no-engine'
-  | 'too-large'
-  | 'expired'
-  | 'cancelled'
-  | 'owner-changed';
+  'deadline' | 'queue-full' | 'no-engine' | 'too-large' | 'expired' | 'cancelled' | 'owner-changed';
 
 /** A refusal. The work did not run. */
 export interface Refusal {
--- a/packages/scheduling/src/ledger/Engine.ts
+++ b/packages/scheduling/src/ledger/Engine.ts
@@ -45,7 +45,7 @@
   report: LoadReport | undefined;
 
   /** Hashes of the prefixes that the engine is believed to hold. */
-  prefixes = new Set<string>();
+  readonly prefixes = new Set<string>();
 
   reservedTokens = 0;
 
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -86,7 +86,9 @@
   getWaitMs(work: Work): number {
     const { admission, queue, ledger, now } = this.options;
     const refusal = admission.getRefusal({ work, queue, ledger, now: now() });
-    return refusal ? Math.max(refusal.retryAfterMs, work.queueLimitMs) : queue.getAhead(work).length;
+    return refusal
+      ? Math.max(refusal.retryAfterMs, work.queueLimitMs)
+      : queue.getAhead(work).length;
   }
 
   private placeNext(): Grant | undefined {
--- /dev/null
+++ b/packages/scheduling/tests/placement/placement.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ClassPlacement, LeastLoadedPlacement } from '../../src/index.js';
+import type { Engine, Place, Work } from '../../src/index.js';
+import { createEngine, createLedger, createReservation, createWork } from '../samples.js';
+
+function place(work: Work, engines: Engine[], placement = new ClassPlacement()): Place | undefined {
+  const ledger = createLedger(...engines);
+  return placement.findPlace({ work, ledger, now: 0, isShareDue: false });
+}
+
+function getEngines(found: Place | undefined): string[] | undefined {
+  return found?.shares.map(({ engine }) => engine.id);
+}
+
+test('a prompt goes to the engine that holds its prefix', () => {
+  const [a, b] = [createEngine('a'), createEngine('b')];
+  b.prefixes.add('p1');
+  const found = place(createWork({ prefixes: ['p1', 'p2'] }), [a, b]);
+  assert.deepEqual(getEngines(found), ['b']);
+  assert.equal(found?.cachedTokens, 512);
+});
+
+test('a prefix hit does not outweigh a long backlog', () => {
+  const [a, b] = [createEngine('a'), createEngine('b')];
+  b.prefixes.add('p1');
+  b.addReservation(
+    createReservation({ prefillTokens: 8000, enginePriority: 0, priority: 'urgent' }),
+  );
+  assert.deepEqual(getEngines(place(createWork({ prefixes: ['p1'] }), [a, b])), ['a']);
+});
+
+test('a short prompt avoids an engine with a long one', () => {
+  const [a, b] = [createEngine('a'), createEngine('b')];
+  a.addReservation(createReservation({ isLong: true }));
+  assert.deepEqual(getEngines(place(createWork(), [a, b])), ['b']);
+});
+
+test('a second long prompt waits for the first', () => {
+  const a = createEngine('a');
+  a.addReservation(createReservation({ isLong: true }));
+  assert.equal(place(createWork({ isLong: true }), [a]), undefined);
+});
+
+test('an engine without the model, not ready or avoided gets nothing', () => {
+  const [a, b, c] = [createEngine('a'), createEngine('b'), createEngine('c')];
+  a.models.clear();
+  b.isReady = false;
+  assert.equal(place(createWork({ avoided: ['c'] }), [a, b, c]), undefined);
+});
+
+test('batch work leaves room for urgent work', () => {
+  const a = createEngine('a');
+  a.addReservation(createReservation({ tokens: 8000, isDecoding: true }));
+  assert.equal(place(createWork({ priority: 'batch' }), [a]), undefined);
+  assert.ok(place(createWork({ priority: 'urgent' }), [a]));
+});
+
+test('a prompt larger than one engine takes several at once', () => {
+  const engines = ['a', 'b', 'c'].map((id) => createEngine(id));
+  const found = place(createWork({ promptTokens: 25_000, isLong: true }), engines);
+  assert.equal(
+    found?.shares.reduce((sum, share) => sum + share.tokens, 0),
+    25_100,
+  );
+});
+
+test('a large prompt takes nothing while it cannot have all', () => {
+  const engines = ['a', 'b', 'c'].map((id) => createEngine(id));
+  engines[0]?.addReservation(createReservation({ tokens: 6000 }));
+  assert.equal(place(createWork({ promptTokens: 25_000, isLong: true }), engines), undefined);
+  assert.equal(engines[1]?.reservedTokens, 0);
+});
+
+test('a waiting large prompt keeps others from taking what it collects', () => {
+  const engines = ['a', 'b', 'c'].map((id) => createEngine(id));
+  const placement = new ClassPlacement();
+  engines[0]?.addReservation(createReservation({ request: 'r', tokens: 6000, isDecoding: true }));
+  const large = createWork({ promptTokens: 25_000, isLong: true });
+  assert.equal(place(large, engines, placement), undefined);
+  assert.equal(place(createWork({ priority: 'batch' }), engines, placement), undefined);
+  assert.ok(place(createWork({ priority: 'urgent' }), engines, placement));
+  engines[0]?.removeReservation('r');
+  assert.equal(place(large, engines, placement)?.shares.length, 3);
+});
+
+test('one of two large prompts at a time collects memory', () => {
+  const engines = ['a', 'b', 'c'].map((id) => createEngine(id));
+  const placement = new ClassPlacement();
+  engines[0]?.addReservation(createReservation({ request: 'r', tokens: 6000 }));
+  const [first, second] = [1, 2].map(() => createWork({ promptTokens: 25_000, isLong: true }));
+  assert.equal(place(first as Work, engines, placement), undefined);
+  engines[0]?.removeReservation('r');
+  assert.equal(place(second as Work, engines, placement), undefined);
+  assert.ok(place(first as Work, engines, placement));
+});
+
+test('a customer over its share runs behind one below it', () => {
+  const a = createEngine('a');
+  a.addReservation(
+    createReservation({ customer: 'large', priority: 'standard', isDecoding: true }),
+  );
+  const large = place(createWork({ customer: 'large' }), [a]);
+  a.addReservation(
+    createReservation({ customer: 'large', priority: 'standard', isDecoding: true }),
+  );
+  const small = place(createWork({ customer: 'small', promptTokens: 100 }), [a]);
+  assert.ok((small?.enginePriority ?? 99) <= (large?.enginePriority ?? 0));
+});
+
+test('the baseline takes the engine with fewest requests', () => {
+  const [a, b] = [createEngine('a'), createEngine('b')];
+  a.addReservation(createReservation());
+  const found = place(createWork(), [a, b], new LeastLoadedPlacement() as never);
+  assert.deepEqual(getEngines(found), ['b']);
+});
--- /dev/null
+++ b/packages/scheduling/tests/samples.ts
@@ -0,0 +1,68 @@
+import { Engine, Ledger } from '../src/index.js';
+import type { Reservation, Work } from '../src/index.js';
+
+let count = 0;
+
+/** Creates a work of a thousand tokens. */
+export function createWork(changes: Partial<Work> = {}): Work {
+  count += 1;
+  return {
+    id: `work-${count}`,
+    customer: 'small',
+    weight: 1,
+    priority: 'standard',
+    model: 'm',
+    promptTokens: 1000,
+    maxTokens: 100,
+    prefixes: [],
+    arrivedAt: 0,
+    dueAt: 10_000,
+    queueLimitMs: 5000,
+    isLong: false,
+    avoided: [],
+    ...changes,
+  };
+}
+
+/** Creates an engine of 10,000 tokens that serves the model `m`. */
+export function createEngine(id: string, kvTokens = 10_000): Engine {
+  const engine = new Engine({
+    id,
+    address: `http://${id}`,
+    capacity: { kvTokens, maxBatch: 8, prefillTokensPerSecond: 10_000, decodeStepMs: 10 },
+  });
+  engine.models.add('m');
+  engine.isReady = true;
+  return engine;
+}
+
+/** Creates a ledger with some engines. */
+export function createLedger(...engines: Engine[]): Ledger {
+  const ledger = new Ledger();
+  engines.forEach((engine) => ledger.addEngine(engine));
+  return ledger;
+}
+
+/** Creates a reservation of a thousand tokens. */
+export function createReservation(changes: Partial<Reservation> = {}): Reservation {
+  count += 1;
+  return {
+    request: `request-${count}`,
+    tokens: 1000,
+    model: 'm',
+    customer: 'small',
+    priority: 'batch',
+    leads: true,
+    isLong: false,
+    prefillTokens: 1000,
+    maxTokens: 100,
+    grantedAt: 0,
+    startBy: 1000,
+    isSeen: true,
+    isDecoding: false,
+    session: 's',
+    isPausing: false,
+    enginePriority: 8,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/scheduling/tests/scheduler/Scheduler.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  ClassPlacement,
+  DeadlineAdmission,
+  FairQueue,
+  OpenAdmission,
+  Scheduler,
+} from '../../src/index.js';
+import type { Ledger, WorkPriority } from '../../src/index.js';
+import { createEngine, createLedger, createReservation, createWork } from '../samples.js';
+
+let now = 0;
+
+function createScheduler(ledger: Ledger, isOpen = true): Scheduler {
+  now = 0;
+  return new Scheduler({
+    ledger,
+    queue: new FairQueue(() => ({ urgent: 0, standard: 0.1, batch: 0.05 })),
+    admission: isOpen ? new OpenAdmission() : new DeadlineAdmission(() => 0),
+    placement: new ClassPlacement(),
+    startWithinMs: 1000,
+    isPreemptive: true,
+    now: () => now,
+  });
+}
+
+test('a grant reserves exactly prompt and answer', () => {
+  const ledger = createLedger(createEngine('a'));
+  const scheduler = createScheduler(ledger);
+  scheduler.submit(createWork(), 's');
+  assert.equal(scheduler.dispatch().length, 1);
+  assert.equal(ledger.getEngine('a')?.reservedTokens, 1100);
+});
+
+test('late work is refused, not run', () => {
+  const scheduler = createScheduler(createLedger());
+  scheduler.submit(createWork({ queueLimitMs: 100 }), 's');
+  now = 101;
+  assert.equal(scheduler.expire()[0]?.reason, 'expired');
+  assert.equal(scheduler.dispatch().length, 0);
+});
+
+test('batch work gives way to urgent work that finds no room', () => {
+  const engine = createEngine('a');
+  engine.addReservation(createReservation({ tokens: 9500, isDecoding: true }));
+  const scheduler = createScheduler(createLedger(engine));
+  scheduler.submit(createWork({ priority: 'urgent' }), 's');
+  assert.equal(scheduler.dispatch().length, 0);
+  assert.equal(scheduler.findVictims().length, 0, 'not at once');
+  now = 50;
+  assert.equal(scheduler.findVictims().length, 1);
+});
+
+test('urgent work is not paused', () => {
+  const engine = createEngine('a');
+  engine.addReservation(createReservation({ tokens: 9500, priority: 'urgent', isDecoding: true }));
+  const scheduler = createScheduler(createLedger(engine));
+  scheduler.submit(createWork({ priority: 'urgent' }), 's');
+  now = 50;
+  assert.equal(scheduler.findVictims().length, 0);
+});
+
+test('no engine is ever overfilled, and all memory comes back', () => {
+  const work = fc.record({
+    promptTokens: fc.integer({ min: 1, max: 28_000 }),
+    maxTokens: fc.integer({ min: 1, max: 500 }),
+    priority: fc.constantFrom<WorkPriority>('urgent', 'standard', 'batch'),
+    customer: fc.constantFrom('a', 'b', 'c'),
+  });
+  const step = fc.oneof(
+    work.map((changes) => ({ kind: 'submit' as const, changes })),
+    fc.nat(20).map((which) => ({ kind: 'release' as const, which })),
+    fc.nat(20).map((which) => ({ kind: 'cancel' as const, which })),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+      const engines = ['a', 'b', 'c'].map((id) => createEngine(id));
+      const ledger = createLedger(...engines);
+      const scheduler = createScheduler(ledger);
+      const queued: string[] = [];
+      const running: string[] = [];
+      for (const each of steps) {
+        now += 10;
+        if (each.kind === 'submit') {
+          const created = createWork({
+            ...each.changes,
+            arrivedAt: now,
+            dueAt: now + 1e6,
+            isLong: each.changes.promptTokens > 5000,
+          });
+          if (!scheduler.submit(created, 's')) queued.push(created.id);
+        }
+        if (each.kind === 'cancel') scheduler.cancel(queued[each.which] ?? '');
+        if (each.kind === 'release') ledger.removeRequest(running.splice(each.which, 1)[0] ?? '');
+        running.push(...scheduler.dispatch().map((grant) => grant.work.id));
+        assert.ok(ledger.isConsistent());
+        assert.ok(engines.every((engine) => engine.freeTokens >= 0));
+      }
+      running.forEach((id) => ledger.removeRequest(id));
+      assert.ok(engines.every((engine) => engine.reservedTokens === 0));
+    }),
+    { seed: 3, numRuns: 200 },
+  );
+});
+
+test('large prompts never deadlock and all run in the end', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 11_000, max: 29_000 }), { maxLength: 12 }), (sizes) => {
+      const ledger = createLedger(...['a', 'b', 'c'].map((id) => createEngine(id)));
+      const scheduler = createScheduler(ledger);
+      const works = sizes.map((promptTokens) => createWork({ promptTokens, isLong: true }));
+      works.forEach((work) => scheduler.submit(work, 's'));
+      let done = 0;
+      for (let round = 0; round < works.length; round += 1) {
+        for (const { work } of scheduler.dispatch()) {
+          ledger.removeRequest(work.id);
+          done += 1;
+        }
+      }
+      assert.equal(done, works.length);
+    }),
+    { seed: 5, numRuns: 100 },
+  );
+});
--- a/packages/telemetry/src/clock/HybridClock.ts
+++ b/packages/telemetry/src/clock/HybridClock.ts
@@ -27,7 +27,10 @@
     const match = /^(\d{15})\.(\d{6})$/.exec(remote ?? '');
     if (!match) return;
     const wall = Number(match[1]);
-    this.advance(Math.max(wall, this.wallMs, this.now()), wall === Math.max(wall, this.wallMs) ? Number(match[2]) : -1);
+    this.advance(
+      Math.max(wall, this.wallMs, this.now()),
+      wall === Math.max(wall, this.wallMs) ? Number(match[2]) : -1,
+    );
   }
 
   private advance(wallMs: number, remoteCounter: number): void {
--- a/packages/telemetry/src/timeline/mergeEvents.ts
+++ b/packages/telemetry/src/timeline/mergeEvents.ts
@@ -3,7 +3,8 @@
 /** Merges the events of several processes in causal order; a repeated event is kept once. */
 export function mergeEvents(sources: TimelineEvent[][]): TimelineEvent[] {
   const byKey = new Map<string, TimelineEvent>();
-  for (const event of sources.flat()) byKey.set(`${event.at} ${event.process} ${event.kind}`, event);
+  for (const event of sources.flat())
+    byKey.set(`${event.at} ${event.process} ${event.kind}`, event);
   return [...byKey.values()].sort(compareEvents);
 }
 
