Add open-loop benches that compare the policies

Cause: the users' measures had no measurement.

Ruled out: closed-loop load (it slows down with the system and hides the wait).

The first run found that long bodies failed: the worker gave back a plain object where the pool needs a marked transferable.

--- a/packages/daemon/src/entry/clients/promptWorker.ts
+++ b/packages/daemon/src/entry/clients/promptWorker.ts
@@ -1,4 +1,4 @@
-import { move } from 'piscina';
+import { move, transferableSymbol, valueSymbol } from 'piscina';
 import { inspectPrompt } from './inspectPrompt.js';
 import type { Inspection } from './inspectPrompt.js';
 
@@ -10,6 +10,7 @@
 
 /** Inspects a prompt on a thread of its own. The body moves here and back without a copy. */
 export default function inspect(bytes: Uint8Array): WorkerAnswer {
-  const inspection = inspectPrompt(bytes);
-  return move({ inspection, bytes } as never) as unknown as WorkerAnswer;
+  const answer: WorkerAnswer = { inspection: inspectPrompt(bytes), bytes };
+  const transferable = { [transferableSymbol]: bytes.buffer, [valueSymbol]: answer };
+  return move(transferable as never) as unknown as WorkerAnswer;
 }
--- /dev/null
+++ b/packages/fakes/src/bench/fleetProbes.ts
@@ -0,0 +1,32 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Fleet } from '../harness/index.js';
+
+/** Gets the value of a metric of an entry process; labels are summed up. */
+export async function getMetric(url: string, name: string): Promise<number> {
+  const text = await (await fetch(`${url}/metrics`)).text();
+  const lines = text
+    .split('\n')
+    .filter((line) => line.startsWith(`${name} `) || line.startsWith(`${name}{`));
+  return lines.reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+}
+
+/** Gets the highest value of a metric over all entry processes. */
+export async function getHighest(fleet: Fleet, name: string): Promise<number> {
+  const values = await Promise.all(fleet.entryUrls.map((url) => getMetric(url, name)));
+  return Math.max(...values);
+}
+
+/** Gets the sum of a metric over all entry processes. */
+export async function getSum(fleet: Fleet, name: string): Promise<number> {
+  const values = await Promise.all(fleet.entryUrls.map((url) => getMetric(url, name)));
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
+/** Waits until no memory is reserved, at most a few seconds; gets what is left. */
+export async function getReservedAfterQuiet(fleet: Fleet): Promise<number> {
+  for (let attempt = 0; attempt < 50; attempt += 1) {
+    if ((await getSum(fleet, 'azurecart_reserved_tokens')) === 0) return 0;
+    await sleep(100);
+  }
+  return getSum(fleet, 'azurecart_reserved_tokens');
+}
--- /dev/null
+++ b/packages/fakes/src/bench/scenarios/longest.ts
@@ -0,0 +1,54 @@
+import { drawArrivals, Random, runLoad } from '../../load/index.js';
+import type { Stream } from '../../load/index.js';
+import type { Bench, BenchOptions } from '../Bench.js';
+import { KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
+import { getHighest, getReservedAfterQuiet, getSum } from '../fleetProbes.js';
+
+const ENGINES = 6;
+const LONGEST = 1_000_000;
+const SHORT_LOAD = 0.2;
+
+/** Prompts of a million tokens, more than twice one engine's memory, beside short ones. */
+export const longest: Bench = {
+  name: 'longest',
+  summary: 'prompts of a million tokens beside short traffic',
+  policies: ['baseline', 'fair'],
+  run,
+};
+
+async function run({ policy, seed, seconds }: BenchOptions): Promise<Record<string, unknown>> {
+  return withBenchFleet({ policy, engines: ENGINES }, async (fleet) => {
+    const toMs = seconds * 1000;
+    const short: Stream = {
+      group: 'short',
+      key: KEYS.urgent,
+      perSecond: (SHORT_LOAD * ENGINES * PREFILL_TOKENS_PER_SECOND) / 2000,
+      fromMs: 0,
+      toMs,
+      promptTokens: [1000, 3000],
+      maxTokens: 20,
+    };
+    const long: Stream = {
+      group: 'longest',
+      key: KEYS.batch,
+      perSecond: 0.2,
+      fromMs: 0,
+      toMs,
+      promptTokens: [LONGEST, LONGEST],
+      maxTokens: 20,
+      headers: { 'azurecart-deadline-ms': '120000' },
+    };
+    const random = new Random(seed);
+    const arrivals = drawArrivals([short, long], random);
+    const results = await runLoad(arrivals, fleet.entryUrls, random);
+    return {
+      short: results.get('short')?.toJson(),
+      longest: results.get('longest')?.toJson(),
+      loopDelayP99Ms: Number((await getHighest(fleet, 'azurecart_loop_delay_p99_ms')).toFixed(2)),
+      loopDelayMaxMs: Number((await getHighest(fleet, 'azurecart_loop_delay_max_ms')).toFixed(2)),
+      reservedAfterQuiet: await getReservedAfterQuiet(fleet),
+      violations: await getSum(fleet, 'azurecart_invariant_violations_total'),
+      target: 'all finish or are refused, loop delay p99 at most 20 ms, nothing reserved after',
+    };
+  });
+}
--- a/packages/fakes/src/engine/BatchModel.ts
+++ b/packages/fakes/src/engine/BatchModel.ts
@@ -32,7 +32,10 @@
 
 const IDLE_MS = 1000;
 
-/** Continuous batching with chunked prefill: each step prefills by priority and decodes all. */
+/**
+ * Continuous batching with chunked prefill: each step prefills by priority, and all decoding
+ * requests get a token within the same step.
+ */
 export class BatchModel {
   private readonly requests = new Map<string, BatchRequest>();
 
@@ -102,7 +105,7 @@
     const decoding = active.filter((request) => request.prefillLeft === 0);
     const chunks = this.planPrefill(active);
     const prefillMs = chunks.reduce((sum, chunk) => sum + this.getMs(chunk), 0);
-    await sleep(prefillMs + (decoding.length > 0 ? this.options.decodeStepMs : 0));
+    await sleep(Math.max(prefillMs, decoding.length > 0 ? this.options.decodeStepMs : 0));
     chunks.forEach(({ request, tokens }) => this.prefill(request, tokens));
     decoding.forEach((request) => this.decode(request));
   }
