Hand shards to the data centre they belong to

Cause: the first entry process to come up got every shard and kept it, so engines were owned from another data centre for good. The first release also took all shards away from their owners, since its shard count was compared with nothing instead of with the default.

Ruled out: moving shards by the leader (the old owner might still grant).

Change: an owner that sees a process in the shard's own data centre stops granting and then yields that shard; the shard count defaults to one before the first release. Tests for control state, claims, leases, permits, owners.

Conclusion: ownership settles near the engines without a gap in fencing.

--- a/packages/daemon/src/control/ClaimTable.ts
+++ b/packages/daemon/src/control/ClaimTable.ts
@@ -32,7 +32,7 @@
   claim(key: string, wanted: Claim): ClaimDecision {
     const known = this.claims.get(key);
     if (!known || (known.result?.kind === 'not-run' && known.fingerprint === wanted.fingerprint)) {
-      this.claims.set(key, wanted);
+      this.claims.set(key, { ...wanted });
       return { state: 'granted' };
     }
     if (known.fingerprint !== wanted.fingerprint) return { state: 'mismatch' };
--- a/packages/daemon/src/control/ControlServices.ts
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -71,8 +71,8 @@
         await this.propose({ kind: 'close-session', id: session });
         return {};
       },
-      yield: async ({ session }) => {
-        await this.propose({ kind: 'yield', session });
+      yield: async ({ session, shards }) => {
+        await this.propose({ kind: 'yield', session, shards });
         return {};
       },
       claim: async ({ key, fingerprint, claimant }) => {
--- a/packages/daemon/src/control/ControlState.ts
+++ b/packages/daemon/src/control/ControlState.ts
@@ -38,6 +38,11 @@
   /** Where the checks of each applied command are counted. */
   invariants: Invariants | undefined;
 
+  /** Gets the number of shards of each data centre. */
+  get shardsPerDataCentre(): number {
+    return this.release?.routing.shardsPerDataCentre ?? 1;
+  }
+
   apply(bytes: Uint8Array, index: number): unknown {
     const command = JSON.parse(Buffer.from(bytes).toString()) as ControlCommand;
     const isViewChange = !['claim', 'settle', 'expire-claims'].includes(command.kind);
@@ -77,7 +82,7 @@
       case 'close-session':
         return this.sessions.close(command.id);
       case 'yield':
-        return this.sessions.yield(command.session);
+        return this.sessions.yield(command.session, command.shards);
       case 'assign':
         return this.assign(command.assignments, index);
       case 'drain':
@@ -103,7 +108,7 @@
 
   private submit(command: Extract<ControlCommand, { kind: 'submit' }>): SubmitDecision {
     const { text, kind, ...receipt } = command;
-    const before = this.release?.routing.shardsPerDataCentre;
+    const before = this.shardsPerDataCentre;
     const { number } = this.releases;
     const decision = this.releases.submit(receipt, text);
     this.invariants?.require(
@@ -112,7 +117,7 @@
       () => `${number} became ${this.releases.number}`,
     );
     this.parseLatest();
-    if (this.release?.routing.shardsPerDataCentre !== before) {
+    if (this.shardsPerDataCentre !== before) {
       this.sessions.clearOwners();
       this.membersVersion = this.viewVersion;
     }
--- a/packages/daemon/src/control/LeaderTasks.ts
+++ b/packages/daemon/src/control/LeaderTasks.ts
@@ -73,13 +73,12 @@
 
   private async assignShards(): Promise<void> {
     const { state, leases, dataCentres, timeline } = this.options;
-    const count = state.release?.routing.shardsPerDataCentre ?? 1;
     const owners = state.sessions.getOwners();
     const candidates = state.sessions
       .getSessions()
       .filter((session) => leases.isLive(session.id) && !state.sessions.isDraining(session));
     const assignments = planAssignments({
-      shards: getShardNames(dataCentres, count),
+      shards: getShardNames(dataCentres, state.shardsPerDataCentre),
       owned: new Map(owners.map(({ shard, session }) => [shard, session])),
       candidates,
     });
--- a/packages/daemon/src/control/SessionTable.ts
+++ b/packages/daemon/src/control/SessionTable.ts
@@ -47,11 +47,11 @@
     this.removeOwnerships(id);
   }
 
-  /** Frees a session's shards; it gets no new ones. */
-  yield(id: string): void {
+  /** Frees some of a session's shards; without a list all of them, and it gets no new ones. */
+  yield(id: string, shards: string[]): void {
     const session = this.sessions.get(id);
-    if (session) session.hasYielded = true;
-    this.removeOwnerships(id);
+    if (session && shards.length === 0) session.hasYielded = true;
+    this.removeOwnerships(id, shards);
   }
 
   /** Assigns a shard that has no owner to an open session. */
@@ -101,9 +101,10 @@
     this.draining = new Set(state.draining);
   }
 
-  private removeOwnerships(session: string): void {
+  private removeOwnerships(session: string, shards: string[] = []): void {
     for (const owner of this.getOwners()) {
-      if (owner.session === session) this.owners.delete(owner.shard);
+      const isNamed = shards.length === 0 || shards.includes(owner.shard);
+      if (owner.session === session && isNamed) this.owners.delete(owner.shard);
     }
   }
 }
--- a/packages/daemon/src/control/commands.ts
+++ b/packages/daemon/src/control/commands.ts
@@ -13,7 +13,7 @@
 export type ControlCommand =
   | { kind: 'open-session'; id: string; vm: string; dataCentre: string; address: string }
   | { kind: 'close-session'; id: string }
-  | { kind: 'yield'; session: string }
+  | { kind: 'yield'; session: string; shards: string[] }
   | { kind: 'assign'; assignments: { shard: string; session: string }[] }
   | { kind: 'drain'; vm: string; isDraining: boolean }
   | {
--- a/packages/daemon/src/entry/EntryProcess.ts
+++ b/packages/daemon/src/entry/EntryProcess.ts
@@ -80,6 +80,7 @@
     await parts.clientServer.start();
     this.runTask('follower', parts.follower.run());
     this.runTask('chooser', parts.chooser.run());
+    this.runTask('handover', parts.owners.runHandover());
     this.addGauges(parts);
     this.logger.info({ listen: this.settings.listen.port }, 'entry started');
   }
--- a/packages/daemon/src/entry/owner/Owners.ts
+++ b/packages/daemon/src/entry/owner/Owners.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ControlClient } from '../../rpc/index.js';
 import type { ConfigurationLease, View } from '../view/index.js';
 import type {
@@ -24,6 +25,8 @@
 }
 
 const LOAD_CALL_TIMEOUT_MS = 2000;
+const YIELD_TIMEOUT_MS = 5000;
+const HANDOVER_PERIOD_MS = 1000;
 const RETRY_MS = 100;
 const NOT_OWNER: ReserveAnswer = {
   granted: false,
@@ -35,6 +38,9 @@
 export class Owners implements OwnerCalls {
   private readonly owned = new Map<string, ShardOwner>();
 
+  /** Shards being handed to a process nearer to them. */
+  private readonly leaving = new Set<string>();
+
   private isYielding = false;
 
   constructor(private readonly options: OwnersOptions) {}
@@ -46,7 +52,9 @@
     }
     for (const { shard, session, fence } of view.owners.values()) {
       const isOwn = session === this.options.getSession() && !this.isYielding;
-      if (isOwn && !this.owned.has(shard)) this.startShard(shard, fence);
+      if (!isOwn) this.leaving.delete(shard);
+      if (isOwn && !this.owned.has(shard) && !this.leaving.has(shard))
+        this.startShard(shard, fence);
     }
   }
 
@@ -56,6 +64,15 @@
     for (const shard of [...this.owned.keys()]) this.stopShard(shard);
   }
 
+  /** Hands shards of other data centres to processes there, until stopped. */
+  async runHandover(): Promise<void> {
+    while (!this.isYielding) {
+      await sleep(HANDOVER_PERIOD_MS);
+      const shards = [...this.owned.keys()].filter((shard) => this.hasNearerOwner(shard));
+      if (shards.length > 0 && !this.isYielding) await this.handOver(shards);
+    }
+  }
+
   getAll(): ShardOwner[] {
     return [...this.owned.values()];
   }
@@ -82,6 +99,26 @@
     return this.owned.get(shard)?.summarise() ?? { shard, models: [], services: [] };
   }
 
+  private hasNearerOwner(shard: string): boolean {
+    const dataCentre = shard.slice(0, shard.lastIndexOf('/'));
+    if (dataCentre === this.options.shared.settings.dataCentre) return false;
+    const sessions = [...this.options.getView().sessions.values()];
+    return sessions.some((session) => session.dataCentre === dataCentre && !session.isDraining);
+  }
+
+  /** Stops granting first, and only then lets others have the shards. */
+  private async handOver(shards: string[]): Promise<void> {
+    const { control, getSession } = this.options;
+    const request = { session: getSession(), shards };
+    for (const shard of shards) {
+      this.leaving.add(shard);
+      this.stopShard(shard);
+    }
+    await control
+      .call((client, options) => client.yield(request, options), { timeoutMs: YIELD_TIMEOUT_MS })
+      .catch(() => shards.forEach((shard) => this.leaving.delete(shard)));
+  }
+
   private startShard(shard: string, fence: number): void {
     const { getView, lease, shared } = this.options;
     const owner = new ShardOwner({
--- /dev/null
+++ b/packages/daemon/tests/control/control.test.ts
@@ -0,0 +1,192 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ClaimTable } from '../../src/control/ClaimTable.js';
+import { encodeCommand } from '../../src/control/commands.js';
+import type { ClaimResult, ControlCommand } from '../../src/control/commands.js';
+import { ControlState } from '../../src/control/ControlState.js';
+import { LoadPermits } from '../../src/control/LoadPermits.js';
+import { getShardNames, planAssignments } from '../../src/control/planAssignments.js';
+import { ReleaseTable } from '../../src/control/ReleaseTable.js';
+import { SessionLeases } from '../../src/control/SessionLeases.js';
+
+const CLAIM = { fingerprint: 'f', claimant: 'one', atMs: 0 };
+const DONE: ClaimResult = { kind: 'completed', status: 200, contentType: '', body: '' };
+const PRIORITY = { minimumShare: 0, deadlineMs: 1000, firstTokenMs: 500 };
+
+function createSession(id: string, dataCentre = 'a') {
+  return { id, vm: id, dataCentre, address: id, fence: 1, hasYielded: false };
+}
+
+function createReleaseText(number: number, shardsPerDataCentre = 1): string {
+  const priorities = { urgent: PRIORITY, standard: PRIORITY, batch: PRIORITY };
+  const routing = { shardsPerDataCentre };
+  return JSON.stringify({ number, follows: number - 1, priorities, routing });
+}
+
+function receipt(number: number, digest: string, operator: string) {
+  return { number, digest, operator, atMs: number };
+}
+
+test('a claim is granted once', () => {
+  const claims = new ClaimTable();
+  assert.equal(claims.claim('k', CLAIM).state, 'granted');
+  assert.equal(claims.claim('k', { ...CLAIM, claimant: 'two' }).state, 'pending');
+});
+
+test('a repeated claim of the same attempt is granted again', () => {
+  const claims = new ClaimTable();
+  claims.claim('k', CLAIM);
+  assert.equal(claims.claim('k', CLAIM).state, 'granted');
+});
+
+test('a settled claim gives the recorded result', () => {
+  const claims = new ClaimTable();
+  claims.claim('k', CLAIM);
+  claims.settle('k', 'one', DONE);
+  assert.equal(claims.claim('k', { ...CLAIM, claimant: 'two' }).state, 'settled');
+});
+
+test('only the holder settles a claim, and only once', () => {
+  const claims = new ClaimTable();
+  claims.claim('k', CLAIM);
+  assert.ok(!claims.settle('k', 'two', DONE));
+  claims.settle('k', 'one', DONE);
+  claims.settle('k', 'one', { ...DONE, kind: 'not-run' });
+  assert.equal(claims.claim('k', { ...CLAIM, claimant: 'two' }).state, 'settled');
+});
+
+test('a claim passes on only after "not run" was recorded', () => {
+  const claims = new ClaimTable();
+  claims.claim('k', CLAIM);
+  claims.settle('k', 'one', { ...DONE, kind: 'not-run' });
+  assert.equal(claims.claim('k', { ...CLAIM, claimant: 'two' }).state, 'granted');
+  assert.ok(!claims.settle('k', 'one', DONE));
+});
+
+test('a key used for another call is told', () => {
+  const claims = new ClaimTable();
+  claims.claim('k', CLAIM);
+  assert.equal(claims.claim('k', { ...CLAIM, fingerprint: 'g' }).state, 'mismatch');
+});
+
+test('equal numbers have one winner, and the loser learns who', () => {
+  const releases = new ReleaseTable();
+  assert.ok(releases.submit(receipt(1, 'x', 'ana'), 'x').accepted);
+  const lost = releases.submit(receipt(1, 'y', 'ben'), 'y');
+  assert.ok(!lost.accepted && lost.winner?.operator === 'ana');
+  assert.equal(releases.latestText, 'x');
+});
+
+test('an identical resend gets the first receipt', () => {
+  const releases = new ReleaseTable();
+  releases.submit(receipt(1, 'x', 'ana'), 'x');
+  releases.submit(receipt(2, 'y', 'ana'), 'y');
+  const again = releases.submit({ ...receipt(1, 'x', 'ben'), atMs: 99 }, 'x');
+  assert.ok(again.accepted && again.receipt.operator === 'ana' && again.receipt.atMs === 1);
+  assert.equal(releases.number, 2);
+});
+
+test('a release that skips a number is refused', () => {
+  const lost = new ReleaseTable().submit(receipt(2, 'x', 'ana'), 'x');
+  assert.ok(!lost.accepted && /latest is 0/.test(lost.reason));
+});
+
+test('the state survives a snapshot', () => {
+  const state = new ControlState();
+  const commands: ControlCommand[] = [
+    { kind: 'open-session', id: 's', vm: 'v', dataCentre: 'a', address: 'x' },
+    { kind: 'assign', assignments: [{ shard: 'a/0', session: 's' }] },
+    {
+      kind: 'submit',
+      number: 1,
+      text: createReleaseText(1),
+      digest: 'd',
+      operator: 'ana',
+      atMs: 1,
+    },
+    { kind: 'claim', key: 'k', ...CLAIM },
+  ];
+  commands.forEach((command, index) => state.apply(encodeCommand(command), index + 1));
+  const restored = new ControlState();
+  restored.restore(state.takeSnapshot());
+  assert.deepEqual(restored.takeSnapshot(), state.takeSnapshot());
+  assert.equal(restored.release?.number, 1);
+  assert.equal(restored.sessions.getOwners()[0]?.fence, 2);
+});
+
+test('a new number of shards gives all of them new fencing numbers', () => {
+  const state = new ControlState();
+  const submit = (number: number, shards: number): ControlCommand => {
+    const text = createReleaseText(number, shards);
+    return { kind: 'submit', number, text, digest: text, operator: 'ana', atMs: 1 };
+  };
+  const commands: ControlCommand[] = [
+    { kind: 'open-session', id: 's', vm: 'v', dataCentre: 'a', address: 'x' },
+    submit(1, 1),
+    { kind: 'assign', assignments: [{ shard: 'a/0', session: 's' }] },
+    submit(2, 2),
+  ];
+  commands.forEach((command, index) => state.apply(encodeCommand(command), index + 1));
+  assert.equal(state.sessions.getOwners().length, 0);
+});
+
+test('a shard goes to a session of its data centre', () => {
+  const candidates = [createSession('s1', 'b'), createSession('s2', 'a')];
+  const plan = planAssignments({ shards: ['a/0'], owned: new Map(), candidates });
+  assert.deepEqual(plan, [{ shard: 'a/0', session: 's2' }]);
+});
+
+test('shards are spread evenly, and owned ones stay', () => {
+  const candidates = [createSession('s1'), createSession('s2')];
+  const shards = getShardNames(['a'], 4);
+  const owned = new Map([['a/0', 's1']]);
+  const plan = planAssignments({ shards, owned, candidates });
+  assert.equal(plan.filter(({ session }) => session === 's1').length, 1);
+  assert.equal(plan.length, 3);
+});
+
+test('a shard of a data centre without sessions goes elsewhere', () => {
+  const candidates = [createSession('s1', 'b')];
+  const plan = planAssignments({ shards: ['a/0'], owned: new Map(), candidates });
+  assert.equal(plan.length, 1);
+});
+
+test('a new leader lets every session live for a whole lease', () => {
+  let now = 0;
+  const leases = new SessionLeases({ leaseMs: 1000, now: () => now });
+  leases.reset([createSession('s')]);
+  now = 1000;
+  assert.deepEqual(leases.takeExpired([createSession('s')]), []);
+  now = 1051;
+  assert.equal(leases.takeExpired([createSession('s')]).length, 1);
+});
+
+test('a session that is being closed gets no extension', () => {
+  let now = 0;
+  const leases = new SessionLeases({ leaseMs: 1000, now: () => now });
+  leases.extend('s', 0);
+  now = 2000;
+  leases.takeExpired([createSession('s')]);
+  assert.ok(!leases.extend('s', 0));
+});
+
+test('loads are paced by number and by spacing', () => {
+  let now = 0;
+  const permits = new LoadPermits(() => now);
+  permits.reset(false);
+  const limits = { concurrentLoads: 2, spacingMs: 100 };
+  assert.equal(permits.acquire('a', limits), 0);
+  assert.equal(permits.acquire('b', limits), 100);
+  now = 100;
+  assert.equal(permits.acquire('b', limits), 0);
+  now = 200;
+  assert.ok(permits.acquire('c', limits) > 0);
+  permits.release('a');
+  assert.equal(permits.acquire('c', limits), 0);
+});
+
+test('a new leader waits for the permits of the old one', () => {
+  const permits = new LoadPermits(() => 0);
+  permits.reset(true);
+  assert.ok(permits.acquire('a', { concurrentLoads: 9, spacingMs: 0 }) > 0);
+});
