Replace silent connections by call deadlines; failure tests on real processes

Cause: an entry process died with ERR_HTTP2_INVALID_SESSION when a peer was killed: the RPC library's ping timer went on after its session was destroyed (found by 'nothing is lost when a wiped control process is repaired'). A prompt refused by its only shard was told 'too_large'.

Ruled out: catching the error process-wide (hides real faults); TCP keep-alive (minutes, and the kernel's word only).

Change: every peer is called several times a second with a timeout; a call without an answer gives the connection up, and what was open on it ends within 2 s. The last refusal of a shard is what the client is told.

Conclusion: silence is met at the level of calls, with no probe of its own.

--- a/packages/consensus/tests/replica/Cluster.ts
+++ b/packages/consensus/tests/replica/Cluster.ts
@@ -1,25 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { FileStorage, Replica } from '../../src/index.js';
-import type { Peer, PeerNetwork, ReplicaEvent, StateMachine } from '../../src/index.js';
+import type { Peer, PeerNetwork, ReplicaEvent } from '../../src/index.js';
 import { MemoryDisk } from '../storage/MemoryDisk.js';
-
-/** A list of texts. */
-export class TextList implements StateMachine {
-  texts: string[] = [];
-
-  apply(command: Uint8Array): number {
-    this.texts.push(Buffer.from(command).toString());
-    return this.texts.length;
-  }
-
-  takeSnapshot(): Uint8Array {
-    return Buffer.from(JSON.stringify(this.texts));
-  }
-
-  restore(state: Uint8Array): void {
-    this.texts = JSON.parse(Buffer.from(state).toString()) as string[];
-  }
-}
+import { TextList } from './TextList.js';
 
 /** A replica of a test, with its disk. */
 export interface Node {
@@ -163,6 +146,7 @@
     });
   }
 
+  // eslint-disable-next-line class-methods-use-this -- Reads well beside the other steps.
   async waitFor(condition: () => Promise<boolean> | boolean): Promise<void> {
     const endAt = performance.now() + WAIT_MS;
     while (performance.now() < endAt) {
--- a/packages/consensus/tests/replica/Replica.test.ts
+++ b/packages/consensus/tests/replica/Replica.test.ts
@@ -37,9 +37,7 @@
     const follower = [...cluster.nodes.values()].find((node) => node !== leader);
     await assert.rejects(
       follower?.replica.propose(Buffer.from('x')) ?? Promise.resolve(),
-      (error) => {
-        return error instanceof NotLeader && error.leaderAddress === leader.name;
-      },
+      (error) => error instanceof NotLeader && error.leaderAddress === leader.name,
     );
   }));
 
--- a/packages/daemon/src/entry/clients/Generation.ts
+++ b/packages/daemon/src/entry/clients/Generation.ts
@@ -71,6 +71,8 @@
 
   private needsFreshConnection = false;
 
+  private lastRefusal: ApiFault | undefined;
+
   private readonly refused = new Set<string>();
 
   private readonly avoided = new Set<string>();
@@ -139,6 +141,7 @@
       refused: this.refused,
     });
     if (shard !== undefined) return shard;
+    if (this.lastRefusal) throw this.lastRefusal;
     if (this.context.chooser.hasModel(summary.model)) {
       throw createRefusal('too_large', 'no group of engines has the memory for this prompt', 0);
     }
@@ -156,7 +159,8 @@
     }
     this.refused.add(shard);
     const isLast = this.refused.size >= SHARD_LIMIT || reason === 'expired';
-    if (isLast || !this.context.budget.takeRetry()) throw toRefusal(reason, answer);
+    this.lastRefusal = toRefusal(reason, answer);
+    if (isLast || !this.context.budget.takeRetry()) throw this.lastRefusal;
     this.context.measures.onRetry(reason);
   }
 
--- a/packages/daemon/src/entry/clients/promptWorker.ts
+++ b/packages/daemon/src/entry/clients/promptWorker.ts
@@ -12,5 +12,5 @@
 export default function inspect(bytes: Uint8Array): WorkerAnswer {
   const answer: WorkerAnswer = { inspection: inspectPrompt(bytes), bytes };
   const transferable = { [transferableSymbol]: bytes.buffer, [valueSymbol]: answer };
-  return move(transferable as never) as unknown as WorkerAnswer;
+  return move(transferable) as unknown as WorkerAnswer;
 }
--- a/packages/daemon/src/entry/owner/OwnerDirectory.ts
+++ b/packages/daemon/src/entry/owner/OwnerDirectory.ts
@@ -25,7 +25,11 @@
     if (owner.session === this.options.getSession()) return this.options.local;
     const address = view.sessions.get(owner.session)?.address;
     if (!address) return undefined;
-    return new RemoteOwner(this.options.clients.getClient(OwnerService, address));
+    const { clients } = this.options;
+    return new RemoteOwner({
+      client: clients.getClient(OwnerService, address),
+      dropConnection: () => clients.dropConnection(address),
+    });
   }
 
   /** Gets the names of all shards that have an owner. */
--- a/packages/daemon/src/rpc/RpcClients.ts
+++ b/packages/daemon/src/rpc/RpcClients.ts
@@ -9,13 +9,15 @@
   transport: Transport;
 }
 
-/** Time without data after which a connection is probed. */
-const PING_INTERVAL_MS = 1000;
-/** Time without an answer to a probe after which a fresh connection is used. */
-const PING_TIMEOUT_MS = 800;
 const IDLE_TIMEOUT_MS = 60_000;
+/** Time for which the calls on a connection that was given up may still be answered. */
+const GIVE_UP_MS = 2000;
 
-/** Clients for the other processes: one connection for each address, probed when silent. */
+/**
+ * Clients for the other processes: one connection for each address.
+ * @remarks Every peer is called several times a second with a timeout each. A call without an
+ * answer makes the caller give the connection up, so one that has gone silent is soon replaced.
+ */
 export class RpcClients {
   private readonly connections = new Map<string, Connection>();
 
@@ -26,15 +28,17 @@
     return createClient(service, this.getConnection(address).transport);
   }
 
-  /** Drops the connection to an address, so that the next call opens a fresh one. */
+  /** Gives up the connection to an address: the next call opens a fresh one. */
   dropConnection(address: string): void {
-    this.connections.get(address)?.manager.abort();
+    const manager = this.connections.get(address)?.manager;
     this.connections.delete(address);
+    if (manager) setTimeout(() => manager.abort(), GIVE_UP_MS).unref();
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const address of [...this.connections.keys()]) this.dropConnection(address);
+    this.connections.forEach(({ manager }) => manager.abort());
+    this.connections.clear();
   }
 
   private getConnection(address: string): Connection {
@@ -48,9 +52,6 @@
   private openConnection(address: string): Connection {
     const baseUrl = `http://${address}`;
     const manager = new Http2SessionManager(baseUrl, {
-      pingIntervalMs: PING_INTERVAL_MS,
-      pingTimeoutMs: PING_TIMEOUT_MS,
-      pingIdleConnection: true,
       idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
     });
     const transport = createConnectTransport({
--- a/packages/daemon/tests/entry/owner.test.ts
+++ b/packages/daemon/tests/entry/owner.test.ts
@@ -127,9 +127,14 @@
 
 test('a gap in cache events drops the entries until they are read again', () => {
   const [engine, cache] = [createEngine(), new CacheIndex()];
-  const event = (sequence: number, added: string[]) => {
-    return { id: 'e', incarnation: 'i1', dataCentre: 'a', sequence, added, removed: [] };
-  };
+  const event = (sequence: number, added: string[]) => ({
+    id: 'e',
+    incarnation: 'i1',
+    dataCentre: 'a',
+    sequence,
+    added,
+    removed: [],
+  });
   cache.resync(engine, { sequence: 1, prefixes: ['p1'] });
   assert.ok(cache.apply(engine, event(2, ['p2'])));
   assert.ok(!cache.apply(engine, event(4, ['p4'])));
--- /dev/null
+++ b/packages/fakes/tests/startFleet.ts
@@ -0,0 +1,87 @@
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Fleet, getFreePorts, getSampleRelease } from '../src/harness/index.js';
+import type { ChildProcess, FleetOptions } from '../src/harness/index.js';
+import { PromptClient } from '../src/load/index.js';
+import type { PromptOptions, PromptResult } from '../src/load/index.js';
+
+const DATA_CENTRES = ['khomas-a', 'khomas-b'];
+const WAIT_MS = 60_000;
+const POLL_MS = 50;
+
+/** A running fleet with fake upstreams, each its own process. */
+export interface TestFleet {
+  fleet: Fleet;
+  client: PromptClient;
+  engines: { child: ChildProcess; url: string }[];
+  services: { child: ChildProcess; url: string }[];
+}
+
+/** Starts three control and two entry processes, engines and services. */
+export async function startFleet(
+  name: string,
+  options: {
+    fleet?: Partial<FleetOptions>;
+    engine?: Record<string, unknown>;
+    service?: Record<string, unknown>;
+    engines?: number;
+    release?: Record<string, unknown>;
+  } = {},
+): Promise<TestFleet> {
+  const fleet = new Fleet({
+    folder: join(process.cwd(), '.data', `test-${name}-${process.pid}`),
+    dataCentres: DATA_CENTRES,
+    controls: 3,
+    entries: 2,
+    entrySettings: { logLevel: 'warn', drainMs: 500 },
+    ...options.fleet,
+  });
+  await fleet.start();
+  const count = options.engines ?? 3;
+  const [enginePorts, servicePorts] = [await getFreePorts(count), await getFreePorts(2)];
+  const start =
+    (kind: string, pool: string, changes?: Record<string, unknown>) =>
+    (port: number, index: number) => {
+      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length];
+      const settings = { kind, pool, id: `${kind}-${index}`, port, dataCentre, ...changes };
+      return { child: fleet.startUpstreams([settings]), url: `http://127.0.0.1:${port}` };
+    };
+  const engines = enginePorts.map(start('engine', 'fitting-assist', options.engine));
+  const services = servicePorts.map(start('service', 'work-orders', options.service));
+  await fleet.submit(getSampleRelease(1, options.release));
+  await fleet.waitForModel('fitting-assist', count);
+  return { fleet, client: new PromptClient(), engines, services };
+}
+
+/** Sends a prompt that is like all others but for what the caller changes. */
+export function ask(
+  { fleet, client }: TestFleet,
+  changes: Partial<PromptOptions> = {},
+): Promise<PromptResult> {
+  return client.send({
+    url: fleet.entryUrls[0] ?? '',
+    key: 'key-planning',
+    name: `prompt ${Math.random()}`,
+    promptTokens: 500,
+    maxTokens: 5,
+    ...changes,
+  });
+}
+
+/** Waits until a condition holds. */
+export async function waitFor(
+  condition: () => Promise<boolean> | boolean,
+  what: string,
+): Promise<void> {
+  const endAt = performance.now() + WAIT_MS;
+  while (performance.now() < endAt) {
+    if (await condition()) return;
+    await sleep(POLL_MS);
+  }
+  throw new Error(`waited too long: ${what}`);
+}
+
+/** Gets what a fake upstream saw. */
+export async function getStats<T>(url: string): Promise<T> {
+  return (await (await fetch(`${url}/fake/stats`)).json()) as T;
+}
--- a/packages/scheduling/tests/admission/DeadlineAdmission.test.ts
+++ b/packages/scheduling/tests/admission/DeadlineAdmission.test.ts
@@ -15,7 +15,7 @@
   return new DeadlineAdmission(() => 0).getRefusal({ work, queue, ledger, now: 0 });
 }
 
-function queued(count: number, changes: Partial<Work> = {}): Work[] {
+function createMany(count: number, changes: Partial<Work> = {}): Work[] {
   return Array.from({ length: count }, () => createWork({ customer: 'large', ...changes }));
 }
 
@@ -28,17 +28,17 @@
 });
 
 test('a queue that takes too long is refused with a time to come back', () => {
-  const refusal = admit(createWork({ customer: 'large' }), queued(100));
+  const refusal = admit(createWork({ customer: 'large' }), createMany(100));
   assert.equal(refusal?.reason, 'deadline');
   assert.ok((refusal?.retryAfterMs ?? 0) > 0);
 });
 
 test('the queue of a large customer does not refuse a small one', () => {
-  assert.equal(admit(createWork({ customer: 'small' }), queued(100)), undefined);
+  assert.equal(admit(createWork({ customer: 'small' }), createMany(100)), undefined);
 });
 
 test('a flood of batch work does not refuse urgent work', () => {
-  const flood = queued(200, { priority: 'batch' });
+  const flood = createMany(200, { priority: 'batch' });
   assert.equal(admit(createWork({ priority: 'urgent', queueLimitMs: 600 }), flood), undefined);
 });
 
--- a/packages/scheduling/tests/placement/placement.test.ts
+++ b/packages/scheduling/tests/placement/placement.test.ts
@@ -89,10 +89,10 @@
   const placement = new ClassPlacement();
   engines[0]?.addReservation(createReservation({ request: 'r', tokens: 6000 }));
   const [first, second] = [1, 2].map(() => createWork({ promptTokens: 25_000, isLong: true }));
-  assert.equal(place(first as Work, engines, placement), undefined);
+  assert.equal(place(first, engines, placement), undefined);
   engines[0]?.removeReservation('r');
-  assert.equal(place(second as Work, engines, placement), undefined);
-  assert.ok(place(first as Work, engines, placement));
+  assert.equal(place(second, engines, placement), undefined);
+  assert.ok(place(first, engines, placement));
 });
 
 test('a customer over its share runs behind one below it', () => {
--- a/packages/scheduling/tests/queue/FairQueue.test.ts
+++ b/packages/scheduling/tests/queue/FairQueue.test.ts
@@ -66,9 +66,9 @@
 
 test('a cancelled work costs its customer nothing', () => {
   const [first, second] = [...many('a', 2)];
-  const queue = createQueue(first as Work, ...many('b', 1));
+  const queue = createQueue(first, ...many('b', 1));
   queue.remove(first?.id ?? '');
-  queue.add(second as Work);
+  queue.add(second);
   assert.equal(queue.size, 2);
   assert.equal(names(serve(queue, 2)).length, 2);
 });
