Prove under random faults; plain HTTP between processes; leaders that stay

Ruled out: swallowing errors process-wide; a longer silence limit (a dead engine would be noticed later); longer election timeouts.

Change: HTTP/1.1 pools by Node's http under the RPC library, given up as a whole; the step-down clock starts at the election; engines send a comment each second while a request waits (upstream protocol). npm run prove: kills, freezes, wipes with a second loss, cuts, silent connections, racing operators.

--- a/packages/consensus/src/replica/Leadership.ts
+++ b/packages/consensus/src/replica/Leadership.ts
@@ -27,6 +27,8 @@
 
   private readonly firstIndex: number;
 
+  private readonly startedAt: number;
+
   private readonly replicators = new Map<string, Replicator>();
 
   private readonly work = new Signal();
@@ -36,6 +38,7 @@
   constructor(private readonly options: LeadershipOptions) {
     this.term = options.state.term;
     this.firstIndex = options.state.log.lastIndex + 1;
+    this.startedAt = options.state.options.now();
   }
 
   /** Starts the tasks and proposes the empty entry that opens the term. */
@@ -113,7 +116,8 @@
     const { state } = this.options;
     while (this.isCurrent()) {
       await sleep(TICK_MS);
-      const silence = state.options.now() - this.getQuorumContact();
+      const contactAt = Math.max(this.getQuorumContact(), this.startedAt);
+      const silence = state.options.now() - contactAt;
       if (silence > state.options.timings.electionTimeoutMs) this.stepDown();
       else this.changeMembersWhenDue();
     }
--- a/packages/consensus/tests/replica/Cluster.ts
+++ b/packages/consensus/tests/replica/Cluster.ts
@@ -20,6 +20,9 @@
 export class Cluster implements PeerNetwork {
   readonly nodes = new Map<string, Node>();
 
+  /** Time that every answer takes. */
+  delayMs = 0;
+
   private readonly cuts = new Set<string>();
 
   private count = 0;
@@ -36,6 +39,7 @@
       const target = root.nodes.get(address);
       if (!target || root.isCut(this.owner, address)) return root.loseMessage();
       const answer = structuredClone(await run(target.replica));
+      if (root.delayMs > 0) await sleep(root.delayMs);
       if (root.isCut(address, this.owner)) return root.loseMessage();
       return answer;
     };
--- a/packages/consensus/tests/replica/Replica.test.ts
+++ b/packages/consensus/tests/replica/Replica.test.ts
@@ -161,6 +161,19 @@
     assert.equal(leader.replica.getMembers().length, 2);
   }));
 
+test('a new leader stays when the first answers take a while', () =>
+  withThree(async (cluster) => {
+    cluster.delayMs = 40;
+    const old = await cluster.getLeader();
+    await cluster.stop(old.name);
+    await cluster.add('after');
+    const { events } = await cluster.getLeader();
+    assert.equal(
+      events.filter((event) => event.kind === 'role' && event.role === 'leader').length,
+      1,
+    );
+  }));
+
 test('committed commands survive random cuts and restarts', async () => {
   const step = fc.constantFrom('isolate', 'one-way', 'restart', 'heal');
   await fc.assert(
--- a/packages/daemon/src/rpc/RpcServer.ts
+++ b/packages/daemon/src/rpc/RpcServer.ts
@@ -1,10 +1,11 @@
-import { createServer } from 'node:http2';
-import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type { Server } from 'node:http';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { closeServer, createHttpServer, listen } from '../http/index.js';
 import type { Listener } from '../settings/index.js';
 import type { RpcContext } from './RpcContext.js';
 
+/** A snapshot of the control state is sent as one message. */
 const READ_LIMIT_BYTES = 256 * 1024 * 1024;
 
 /** What an RPC server is made of. */
@@ -14,43 +15,27 @@
   routes: (router: ConnectRouter) => void;
 }
 
-/** The listener for the other processes of the system: HTTP/2 without TLS. */
+/** The listener for the other processes of the system. */
 export class RpcServer {
-  private readonly server: Http2Server;
-
-  private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly server: Server;
 
   constructor(private readonly options: RpcServerOptions) {
-    const { routes, context } = options;
+    const { routes, context, listener } = options;
     const handler = connectNodeAdapter({
       routes,
       interceptors: [context.serverInterceptor],
       readMaxBytes: READ_LIMIT_BYTES,
     });
-    this.server = createServer(handler);
-    this.server.on('session', (session) => this.addSession(session));
+    this.server = createHttpServer(listener, { keepAliveTimeout: 0, requestTimeout: 0 }, handler);
   }
 
   /** Starts listening. */
   async start(): Promise<void> {
-    const { host, port } = this.options.listener;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listen(this.server, this.options.listener);
   }
 
   /** Closes the listener and all its connections. */
   async stop(): Promise<void> {
-    this.sessions.forEach((session) => session.destroy());
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
-  }
-
-  private addSession(session: ServerHttp2Session): void {
-    this.sessions.add(session);
-    session.on('close', () => this.sessions.delete(session));
-    session.on('error', () => session.destroy());
+    await closeServer(this.server);
   }
 }
--- a/packages/fakes/src/engine/FakeEngine.ts
+++ b/packages/fakes/src/engine/FakeEngine.ts
@@ -1,4 +1,5 @@
 import { createHash, randomUUID } from 'node:crypto';
+import { appendFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -35,6 +36,8 @@
 }
 
 const CACHE_EVENT_MS = 200;
+/** Time between two comments in an answer, by which a waiting engine shows that it is alive. */
+const COMMENT_MS = 1000;
 
 /** Gets the text of an answer token: it tells prompt and position, so that a mix-up shows. */
 export function getTokenText(prompt: string, offset: number): string {
@@ -280,11 +283,17 @@
     this.recordStart(id, fence);
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     response.flushHeaders();
-    response.on('close', () => this.batch.remove(id));
+    const timer = setInterval(() => response.write(': alive\n\n'), COMMENT_MS);
+    response.on('close', () => {
+      clearInterval(timer);
+      this.batch.remove(id);
+    });
   }
 
   private recordStart(id: string, fence: number): void {
     this.runs.push(id);
+    const { runFile } = this.settings;
+    if (runFile) appendFileSync(runFile, `${JSON.stringify({ name: id })}\n`);
     if (fence < this.fence) this.staleStarts += 1;
     this.fence = Math.max(this.fence, fence);
     if (this.leftAt === undefined) return;
--- a/packages/fakes/src/engine/FakeEngineSettings.ts
+++ b/packages/fakes/src/engine/FakeEngineSettings.ts
@@ -20,6 +20,7 @@
   gapRate: z.number().default(0).describe('Share of cache events that are lost'),
   loadMs: z.number().default(100),
   announceMs: z.number().default(400),
+  runFile: z.string().optional().describe('File in which each start is noted'),
 });
 
 export type FakeEngineSettings = z.infer<typeof fakeEngineSchema>;
--- a/packages/fakes/src/harness/ChildProcess.ts
+++ b/packages/fakes/src/harness/ChildProcess.ts
@@ -14,6 +14,11 @@
 
 /** A process that a test, a bench or the demo has started. It is ended by its id only. */
 export class ChildProcess {
+  /** Number of times that the process ended without being asked to. */
+  unexpectedExits = 0;
+
+  private isEnding = false;
+
   private child: NodeChild | undefined;
 
   private exited: Promise<number | null> = Promise.resolve(null);
@@ -41,8 +46,12 @@
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this.child = child;
+    this.isEnding = false;
     this.exited = new Promise((resolve) => {
-      child.once('exit', (code) => resolve(code));
+      child.once('exit', (code) => {
+        if (!this.isEnding) this.unexpectedExits += 1;
+        resolve(code);
+      });
     });
   }
 
@@ -58,6 +67,7 @@
 
   /** Ends the process at once. */
   async kill(): Promise<void> {
+    this.isEnding = true;
     this.child?.kill('SIGKILL');
     await this.exited;
   }
@@ -65,6 +75,7 @@
   /** Asks the process to end, and ends it when it takes too long. */
   async stop(): Promise<number | null> {
     if (!this.isRunning) return null;
+    this.isEnding = true;
     this.wake();
     this.child?.kill('SIGTERM');
     const timer = setTimeout(() => this.child?.kill('SIGKILL'), EXIT_TIMEOUT_MS);
--- a/packages/fakes/src/harness/Fleet.ts
+++ b/packages/fakes/src/harness/Fleet.ts
@@ -8,6 +8,7 @@
 import { HybridClock } from '@azurecart/telemetry';
 import { ChildProcess } from './ChildProcess.js';
 import { getFreePorts } from './getFreePorts.js';
+import { Relay } from './Relay.js';
 
 /** What a fleet is made of. */
 export interface FleetOptions {
@@ -17,6 +18,8 @@
   entries: number;
   /** Ports in the order control rpc, control admin, entry listen, entry rpc; free ones if absent. */
   ports?: number[];
+  /** Puts a relay before the rpc listener of each process. */
+  hasRelays?: boolean;
   /** Settings added to those of every entry process. */
   entrySettings?: Record<string, unknown>;
   /** Settings added to those of every control process. */
@@ -30,6 +33,8 @@
   rpc: string;
   url: string;
   dataFolder: string;
+  /** Relay through which others reach the process. */
+  relay: Relay | undefined;
 }
 
 /** Secret of the fake upstreams. */
@@ -129,6 +134,7 @@
     await Promise.all(this.entries.map((member) => member.process.stop()));
     await Promise.all(this.controls.map((member) => member.process.stop()));
     await Promise.all(this.upstreams.map((child) => child.stop()));
+    await Promise.all([...this.controls, ...this.entries].map(({ relay }) => relay?.stop()));
     this.clients.close();
   }
 
@@ -154,49 +160,61 @@
 
   private async writeSettings(): Promise<void> {
     const { controls, entries } = this.options;
-    const ports = this.options.ports ?? (await getFreePorts(2 * (controls + entries)));
+    const ports = this.options.ports ?? (await getFreePorts(3 * (controls + entries)));
     const next = (): number => ports.shift() ?? 0;
-    const controlPorts = Array.from({ length: controls }, () => ({ rpc: next(), admin: next() }));
-    const members = controlPorts.map(({ rpc }, index) => ({
+    const nextAddress = (rpc: number): number => (this.options.hasRelays ? next() : rpc);
+    const controlPorts = Array.from({ length: controls }, () => {
+      const rpc = next();
+      const admin = next();
+      return { rpc, admin, reached: nextAddress(rpc) };
+    });
+    const members = controlPorts.map(({ reached }, index) => ({
       name: `control-${index}`,
-      address: `127.0.0.1:${rpc}`,
+      address: `127.0.0.1:${reached}`,
     }));
-    for (const [index, { rpc, admin }] of controlPorts.entries()) {
+    for (const [index, { rpc, admin, reached }] of controlPorts.entries()) {
       const vm = `control-${index}`;
       const dataFolder = this.getPath(vm);
       const settings = {
         role: 'control',
-        ...this.getCommon(vm, index, rpc),
+        ...this.getCommon(vm, index, rpc, reached),
         admin: { port: admin },
         members,
         dataFolder,
         dataCentres: this.options.dataCentres,
         ...this.options.controlSettings,
       };
-      this.controls.push(await this.addMember(vm, settings, rpc, admin, dataFolder));
+      const addresses = { rpc, reached, port: admin };
+      this.controls.push(await this.addMember(vm, settings, addresses, dataFolder));
     }
     const control = members.map((member) => member.address);
     for (let index = 0; index < entries; index += 1) {
       const vm = `entry-${index}`;
       const [port, rpc] = [next(), next()];
+      const reached = nextAddress(rpc);
       const settings = {
         role: 'entry',
-        ...this.getCommon(vm, index, rpc),
+        ...this.getCommon(vm, index, rpc, reached),
         listen: { port },
         control,
         ...this.options.entrySettings,
       };
-      this.entries.push(await this.addMember(vm, settings, rpc, port, ''));
+      this.entries.push(await this.addMember(vm, settings, { rpc, reached, port }, ''));
     }
   }
 
-  private getCommon(vm: string, index: number, rpc: number): Record<string, unknown> {
+  private getCommon(
+    vm: string,
+    index: number,
+    rpc: number,
+    reached: number,
+  ): Record<string, unknown> {
     const { dataCentres } = this.options;
     return {
       vm,
       dataCentre: dataCentres[index % dataCentres.length],
       rpc: { port: rpc },
-      address: `127.0.0.1:${rpc}`,
+      address: `127.0.0.1:${reached}`,
       secrets: {
         peerFile: this.getPath('peer.secret'),
         upstreamFile: this.getPath('upstream.secret'),
@@ -209,8 +227,7 @@
   private async addMember(
     vm: string,
     settings: Record<string, unknown>,
-    rpc: number,
-    port: number,
+    { rpc, reached, port }: { rpc: number; reached: number; port: number },
     dataFolder: string,
   ): Promise<FleetMember> {
     const file = this.getPath(`${vm}.json`);
@@ -222,7 +239,9 @@
       logFile: this.getPath(`${vm}.log`),
     });
     const url = `http://127.0.0.1:${port}`;
-    return { vm, process: child, rpc: `127.0.0.1:${rpc}`, url, dataFolder };
+    const relay = reached === rpc ? undefined : new Relay({ host: '127.0.0.1', port: rpc });
+    await relay?.start(reached);
+    return { vm, process: child, rpc: `127.0.0.1:${reached}`, url, dataFolder, relay };
   }
 }
 
--- a/packages/fakes/src/harness/index.ts
+++ b/packages/fakes/src/harness/index.ts
@@ -4,3 +4,4 @@
 export * from './getFreePorts.js';
 export * from './getSampleRelease.js';
 export * from './hashKey.js';
+export * from './Relay.js';
--- a/packages/fakes/src/load/PromptClient.ts
+++ b/packages/fakes/src/load/PromptClient.ts
@@ -29,6 +29,8 @@
   totalMs: number;
   promptTokens: number;
   answerTokens: number;
+  /** Id that the system gave the request; empty when it gave none. */
+  id: string;
 }
 
 const MODEL = 'fitting-assist';
@@ -109,6 +111,7 @@
     if (response.statusCode === 200) parser.feed(chunk as string);
     else raw += chunk as string;
   }
+  const id = String(response.headers['azurecart-request-id'] ?? '');
   const totalMs = performance.now() - sentAt;
   const outcome = String(
     response.headers[OUTCOME_HEADER] ?? response.trailers[OUTCOME_HEADER] ?? '',
@@ -116,16 +119,24 @@
   if (response.statusCode !== 200) {
     const refusal = JSON.parse(raw) as { error: { code: string } };
     const kind = outcome === 'not-run' ? 'refused' : 'failed';
-    return createResult(options, { kind, outcome, code: refusal.error.code, totalMs });
+    return createResult(options, { kind, outcome, code: refusal.error.code, totalMs, id });
   }
   const joined = answer.join('');
   if (!isDone) {
     const kind = getExpected(text, options.maxTokens).startsWith(joined) ? 'failed' : 'wrong';
-    return createResult(options, { kind, outcome, code: code || 'cut', totalMs, firstTokenMs });
+    return createResult(options, { kind, outcome, code: code || 'cut', totalMs, firstTokenMs, id });
   }
   const kind = joined === getExpected(text, options.maxTokens) ? 'whole' : 'wrong';
   const answerTokens = options.maxTokens;
-  return createResult(options, { kind, outcome, code, totalMs, firstTokenMs, answerTokens });
+  return createResult(options, {
+    kind,
+    outcome,
+    code,
+    totalMs,
+    firstTokenMs,
+    answerTokens,
+    id,
+  });
 }
 
 function createResult(
@@ -135,6 +146,7 @@
   return {
     outcome: '',
     code: '',
+    id: '',
     firstTokenMs: 0,
     totalMs: 0,
     promptTokens: options.promptTokens,
--- /dev/null
+++ b/packages/fakes/src/prove/Prompts.ts
@@ -0,0 +1,62 @@
+import { PromptClient } from '../load/index.js';
+import type { PromptResult, Random } from '../load/index.js';
+import { readRuns } from './Bookings.js';
+import type { Checks } from './Checks.js';
+
+const DEADLINE_MS = 20_000;
+/** Time for an answer in time to reach and be read by a busy client. */
+const READ_GRACE_MS = 1000;
+const KEYS = ['key-dispatch', 'key-planning', 'key-engineering'];
+
+/** Prompts of all lengths, some of whose callers leave. */
+export class Prompts {
+  readonly kinds: Record<string, number> = {};
+
+  private readonly client = new PromptClient();
+
+  private readonly notRun = new Set<string>();
+
+  constructor(
+    private readonly random: Random,
+    private readonly getUrl: () => string,
+    private readonly checks: Checks,
+  ) {}
+
+  /** Sends one prompt and checks its answer. */
+  async send(): Promise<void> {
+    const isLong = this.random.next() < 0.05;
+    const leaves = this.random.next() < 0.05;
+    const url = this.getUrl();
+    const result = await this.client.send({
+      url,
+      key: this.random.pick(KEYS),
+      name: `prompt ${this.random.next()}`,
+      promptTokens: isLong ? this.random.integer(30_000, 150_000) : this.random.integer(50, 3000),
+      maxTokens: this.random.integer(1, 60),
+      headers: { 'azurecart-deadline-ms': String(DEADLINE_MS) },
+      timeoutMs: leaves ? 150 : DEADLINE_MS * 2,
+    });
+    this.kinds[result.kind] = (this.kinds[result.kind] ?? 0) + 1;
+    this.check(result);
+  }
+
+  /** Checks that what was told not to have run is not among the engines' runs. */
+  async checkRuns(files: string[]): Promise<void> {
+    for (const { name } of await readRuns(files)) {
+      const request = name.split('.')[0] ?? '';
+      this.checks.check('not-run-prompt-did-not-run', !this.notRun.has(request), () => request);
+    }
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  private check(result: PromptResult): void {
+    const { kind, totalMs, outcome, id } = result;
+    this.checks.check('answer-whole-and-own', kind !== 'wrong', () => id);
+    const isInTime = kind !== 'whole' || totalMs <= DEADLINE_MS + READ_GRACE_MS;
+    this.checks.check('whole-answer-in-time', isInTime, () => `${id}: ${totalMs} ms`);
+    if (outcome === 'not-run') this.notRun.add(id);
+  }
+}
--- a/packages/fakes/src/service/FakeService.ts
+++ b/packages/fakes/src/service/FakeService.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { appendFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -22,6 +23,8 @@
   /** Share of calls that are refused with the word that they did not run. */
   refusalRate: z.number().default(0),
   announceMs: z.number().default(400),
+  /** File in which each run is noted before its answer; none when absent. */
+  runFile: z.string().optional(),
 });
 
 export type FakeServiceSettings = z.infer<typeof fakeServiceSchema>;
@@ -111,6 +114,9 @@
     }
     const name = `${request.method} ${request.url} ${body}`;
     this.runs[name] = (this.runs[name] ?? 0) + 1;
+    const attempt = String(request.headers['x-attempt'] ?? '');
+    const { runFile } = this.settings;
+    if (runFile) appendFileSync(runFile, `${JSON.stringify({ name, attempt })}\n`);
     this.running += 1;
     await sleep(this.settings.delayMs);
     this.running -= 1;
--- a/packages/scheduling/src/placement/ClearEngines.ts
+++ b/packages/scheduling/src/placement/ClearEngines.ts
@@ -36,9 +36,10 @@
 
   private getCount(engines: Engine[], now: number): number {
     this.decay(now);
-    const capacity = engines.reduce((sum, { capacity: each }) => {
-      return sum + each.prefillTokensPerSecond;
-    }, 0);
+    const capacity = engines.reduce(
+      (sum, { capacity: each }) => sum + each.prefillTokensPerSecond,
+      0,
+    );
     const perSecond = (this.demand * Math.LN2 * MILLISECONDS_PER_SECOND) / HALF_LIFE_MS;
     if (perSecond < 1 || capacity === 0) return 0;
     const wanted = Math.ceil((perSecond / capacity) * SURPLUS * engines.length);
