--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,7 @@
+/** The operators' commands. */
+export * from './changeMembers.js';
+export * from './checkRelease.js';
+export * from './diffRelease.js';
+export * from './showStatus.js';
+export * from './showTimeline.js';
+export * from './submitRelease.js';
--- /dev/null
+++ b/packages/cli/src/commands/showStatus.ts
@@ -0,0 +1,65 @@
+import type { StatusResponse } from '@azurecart/protocol';
+import { CALL_TIMEOUT_MS, openControl } from '../control/openControl.js';
+import type { ControlOptions } from '../control/openControl.js';
+import { formatTable, print } from '../output/print.js';
+import type { PrintOptions } from '../output/print.js';
+
+/** Shows members, sessions, shard owners and the release in force. */
+export async function showStatus(options: ControlOptions & PrintOptions): Promise<void> {
+  const { client, close } = await openControl(options);
+  try {
+    const status = await client.call((control, call) => control.status({}, call), {
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    const { $typeName, releaseText, ...shown } = status;
+    print(shown, formatStatus(status), options);
+  } finally {
+    close();
+  }
+}
+
+function formatStatus(status: StatusResponse): string[] {
+  const { release } = status;
+  const inForce = release?.inForceEverywhere
+    ? 'in force everywhere'
+    : 'not yet in force everywhere';
+  return [
+    `leader ${status.leader}, term ${status.term}, commit ${status.commitIndex}`,
+    release
+      ? `release ${release.number} by ${release.operator}, ${inForce}`
+      : 'no release was accepted yet',
+    formatTable(
+      ['control member', 'id', 'address', 'voter', 'log'],
+      status.members.map((member) => [
+        member.name,
+        member.id,
+        member.address,
+        member.voter ? 'yes' : 'catching up',
+        String(member.matchIndex),
+      ]),
+    ),
+    formatTable(
+      ['vm', 'data centre', 'address', 'lease', 'release'],
+      status.sessions.map((session) => [
+        session.vm,
+        session.dataCentre,
+        session.address,
+        describeLease(session),
+        String(session.appliedRelease),
+      ]),
+    ),
+    formatTable(
+      ['shard', 'owner', 'fence'],
+      status.owners.map((owner) => [
+        owner.shard,
+        owner.session.split('#')[0] ?? '',
+        String(owner.fence),
+      ]),
+    ),
+  ];
+}
+
+function describeLease({ live, draining }: { live: boolean; draining: boolean }): string {
+  if (draining) return 'draining';
+  return live ? 'held' : 'over';
+}
--- a/packages/consensus/tests/replica/Cluster.ts
+++ b/packages/consensus/tests/replica/Cluster.ts
@@ -20,8 +20,7 @@
 export class Cluster implements PeerNetwork {
   readonly nodes = new Map<string, Node>();
 
-  /** Time that every answer takes. */
-  delayMs = 0;
+  private delayMs = 0;
 
   private readonly cuts = new Set<string>();
 
@@ -120,6 +119,11 @@
     if (from !== to) this.cuts.add(`${from} ${to}`);
   }
 
+  /** Makes every answer take a while. */
+  slowDown(delayMs: number): void {
+    this.delayMs = delayMs;
+  }
+
   heal(): void {
     this.cuts.clear();
   }
--- a/packages/consensus/tests/replica/Replica.test.ts
+++ b/packages/consensus/tests/replica/Replica.test.ts
@@ -163,7 +163,7 @@
 
 test('a new leader stays when the first answers take a while', () =>
   withThree(async (cluster) => {
-    cluster.delayMs = 40;
+    cluster.slowDown(40);
     const old = await cluster.getLeader();
     await cluster.stop(old.name);
     await cluster.add('after');
--- a/packages/daemon/src/control/ControlProcess.ts
+++ b/packages/daemon/src/control/ControlProcess.ts
@@ -26,6 +26,14 @@
   membership: Membership;
 }
 
+/** What the parts of a control process are created from. */
+interface Shared {
+  replica: Replica;
+  clients: RpcClients;
+  context: RpcContext;
+  operatorSecret: Secret;
+}
+
 /** A control process: one replica of the system's durable state. */
 export class ControlProcess {
   private readonly registry = new Registry();
@@ -55,11 +63,12 @@
   /** Starts the replica, its listeners and its tasks. */
   async start(): Promise<void> {
     const { settings, logger } = this;
-    const clients = new RpcClients(
-      new RpcContext(await Secret.load(settings.secrets.peerFile), this.clock),
-    );
+    const secret = await Secret.load(settings.secrets.peerFile);
+    const operatorSecret = await Secret.load(settings.secrets.operatorFile);
+    const context = new RpcContext({ secret, clock: this.clock, operatorSecret });
+    const clients = new RpcClients(context);
     const replica = await this.createReplica(clients);
-    const parts = await this.createParts(replica, clients);
+    const parts = this.createParts({ replica, clients, context, operatorSecret });
     this.parts = parts;
     await replica.start();
     await parts.rpcServer.start();
@@ -102,7 +111,7 @@
     });
   }
 
-  private async createParts(replica: Replica, clients: RpcClients): Promise<Parts> {
+  private createParts({ replica, clients, context, operatorSecret }: Shared): Parts {
     const { settings, state, timeline, logger } = this;
     const now = (): number => performance.now();
     const leases = new SessionLeases({ leaseMs: settings.leaseMs, now });
@@ -110,7 +119,6 @@
     const { leaseMs, pollMs, dataCentres, claimRetentionMs } = settings;
     const shared = { replica, state, leases, permits, timeline };
     const services = new ControlServices({ ...shared, leaseMs, pollMs, now });
-    const context = new RpcContext(await Secret.load(settings.secrets.peerFile), this.clock);
     return {
       replica,
       clients,
@@ -122,7 +130,7 @@
           services.addRoutes(router);
         },
       }),
-      admin: await this.createAdmin(replica),
+      admin: this.createAdmin(replica, operatorSecret),
       tasks: new LeaderTasks({ ...shared, dataCentres, claimRetentionMs, logger }),
       membership: new Membership({
         replica,
@@ -135,11 +143,11 @@
     };
   }
 
-  private async createAdmin(replica: Replica): Promise<Server> {
+  private createAdmin(replica: Replica, operatorSecret: Secret): Server {
     const routes = new AdminRoutes({
       registry: this.registry,
       timeline: this.timeline,
-      operatorSecret: await Secret.load(this.settings.secrets.operatorFile),
+      operatorSecret,
       getUnreadiness: () => (replica.getLeaderAddress() ? undefined : 'no leader known'),
     });
     return createHttpServer(this.settings.admin, {}, (request, response) => {
--- a/packages/daemon/src/entry/EntryProcess.ts
+++ b/packages/daemon/src/entry/EntryProcess.ts
@@ -122,7 +122,7 @@
 
   private createParts(secrets: Secrets): Parts {
     const { settings, lease, timeline, invariants, logger } = this;
-    const context = new RpcContext(secrets.peer, this.clock);
+    const context = new RpcContext({ secret: secrets.peer, clock: this.clock });
     const clients = new RpcClients(context);
     const control = new ControlClient(clients, settings.control);
     const { vm, dataCentre, address } = settings;
--- a/packages/daemon/src/entry/owner/Owners.ts
+++ b/packages/daemon/src/entry/owner/Owners.ts
@@ -64,11 +64,11 @@
     for (const shard of [...this.owned.keys()]) this.stopShard(shard);
   }
 
-  /** Hands shards of other data centres to processes there, until stopped. */
+  /** Hands shards to processes that should rather own them, until stopped. */
   async runHandover(): Promise<void> {
     while (!this.isYielding) {
       await sleep(HANDOVER_PERIOD_MS);
-      const shards = [...this.owned.keys()].filter((shard) => this.hasNearerOwner(shard));
+      const shards = [...this.owned.keys()].filter((shard) => this.hasBetterOwner(shard));
       if (shards.length > 0 && !this.isYielding) await this.handOver(shards);
     }
   }
@@ -99,11 +99,15 @@
     return this.owned.get(shard)?.summarise() ?? { shard, models: [], services: [] };
   }
 
-  private hasNearerOwner(shard: string): boolean {
+  /** Tells whether another process should own a shard: a nearer one, or any while this drains. */
+  private hasBetterOwner(shard: string): boolean {
     const dataCentre = shard.slice(0, shard.lastIndexOf('/'));
-    if (dataCentre === this.options.shared.settings.dataCentre) return false;
-    const sessions = [...this.options.getView().sessions.values()];
-    return sessions.some((session) => session.dataCentre === dataCentre && !session.isDraining);
+    const { sessions } = this.options.getView();
+    const own = sessions.get(this.options.getSession());
+    const others = [...sessions.values()].filter((each) => each !== own && !each.isDraining);
+    if (own?.isDraining) return others.length > 0;
+    if (dataCentre === own?.dataCentre) return false;
+    return others.some((session) => session.dataCentre === dataCentre);
   }
 
   /** Stops granting first, and only then lets others have the shards. */
--- /dev/null
+++ b/packages/daemon/src/settings/writeSchemas.ts
@@ -0,0 +1,11 @@
+/** Writes the JSON Schemas for editors and the page of all settings to docs. */
+import { writeFile } from 'node:fs/promises';
+import { getSchemas } from './getSchemas.js';
+import { getSettingsPage } from './getSettingsPage.js';
+
+for (const [file, text] of Object.entries(getSchemas())) {
+  await writeFile(new URL(`../../../../../docs/schemas/${file}`, import.meta.url), text);
+}
+
+const page = new URL('../../../../../docs/SETTINGS.md', import.meta.url);
+await writeFile(page, getSettingsPage());
--- a/packages/fakes/src/harness/Fleet.ts
+++ b/packages/fakes/src/harness/Fleet.ts
@@ -54,7 +54,7 @@
   readonly upstreams: ChildProcess[] = [];
 
   private readonly clients = new RpcClients(
-    new RpcContext(new Secret(PEER_SECRET), new HybridClock()),
+    new RpcContext({ secret: new Secret(PEER_SECRET), clock: new HybridClock() }),
   );
 
   private control: ControlClient | undefined;
