--- a/packages/fakes/src/bench/main.ts
+++ b/packages/fakes/src/bench/main.ts
@@ -1,9 +1,9 @@
 /** Runs a bench by name, once for each policy, and prints one JSON line for each. */
 import { cac } from 'cac';
 import type { Bench } from './Bench.js';
-import { fair, floor, hol, longest, ranks } from './scenarios/index.js';
+import { control, fair, floor, hol, longest, overhead, quorum, ranks } from './scenarios/index.js';
 
-const BENCHES: Bench[] = [hol, ranks, floor, fair, longest];
+const BENCHES: Bench[] = [hol, ranks, floor, fair, longest, overhead, control, quorum];
 const SECONDS = 20;
 const SEED = 1;
 
