Split the shard owner, add TLS between processes, sharpen the prove checks

Ruled out: TLS by a proxy beside each process (nothing else runs on the VMs).

Change: ShardOwner (queue and grants), ShardUpstreams (announcements and engine tasks), summariseShard, toWork; peerCaFile and --ca; engines note each start with fence and time since leaving in a file; a stopping entry process must cut nothing.

Conclusion: same behaviour, smaller parts; TLS works end to end.

--- a/packages/cli/src/control/openControl.ts
+++ b/packages/cli/src/control/openControl.ts
@@ -8,6 +8,8 @@
   control?: string;
   /** File with the operators' secret. */
   secret?: string;
+  /** PEM file of the authority whose certificates control has; plain TCP without. */
+  ca?: string;
 }
 
 /** A way to control, to be closed after use. */
@@ -29,7 +31,8 @@
   if (!addresses) throw new CommandFault('--control or AZURECART_CONTROL is needed');
   if (!file) throw new CommandFault('--secret or AZURECART_SECRET_FILE is needed');
   const secret = await Secret.load(file);
-  const clients = new RpcClients(new RpcContext({ secret, clock: new HybridClock() }));
+  const context = new RpcContext({ secret, clock: new HybridClock() });
+  const clients = new RpcClients(context, options.ca);
   const client = new ControlClient(clients, addresses.split(','));
   return { client, close: () => clients.close() };
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -82,6 +82,7 @@
   return command
     .option('--control <addresses>', 'Control processes host:port,... (AZURECART_CONTROL)')
     .option('--secret <file>', "File with the operators' secret (AZURECART_SECRET_FILE)")
+    .option('--ca <file>', 'PEM file of the certificate authority, when control uses TLS')
     .option('--json', 'Print JSON');
 }
 
--- a/packages/daemon/src/control/ControlProcess.ts
+++ b/packages/daemon/src/control/ControlProcess.ts
@@ -66,7 +66,7 @@
     const secret = await Secret.load(settings.secrets.peerFile);
     const operatorSecret = await Secret.load(settings.secrets.operatorFile);
     const context = new RpcContext({ secret, clock: this.clock, operatorSecret });
-    const clients = new RpcClients(context);
+    const clients = new RpcClients(context, settings.peerCaFile);
     const replica = await this.createReplica(clients);
     const parts = this.createParts({ replica, clients, context, operatorSecret });
     this.parts = parts;
--- a/packages/daemon/src/entry/EntryProcess.ts
+++ b/packages/daemon/src/entry/EntryProcess.ts
@@ -123,7 +123,7 @@
   private createParts(secrets: Secrets): Parts {
     const { settings, lease, timeline, invariants, logger } = this;
     const context = new RpcContext({ secret: secrets.peer, clock: this.clock });
-    const clients = new RpcClients(context);
+    const clients = new RpcClients(context, settings.peerCaFile);
     const control = new ControlClient(clients, settings.control);
     const { vm, dataCentre, address } = settings;
     const follower = new ViewFollower({
--- a/packages/daemon/src/entry/owner/ShardOwner.ts
+++ b/packages/daemon/src/entry/owner/ShardOwner.ts
@@ -1,20 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Engine, Ledger } from '@azurecart/scheduling';
-import type { Grant, RefusalReason, Scheduler, Work, WorkPriority } from '@azurecart/scheduling';
-import {
-  announcementSchema,
-  cacheEventsSchema,
-  departureSchema,
-  parseDocument,
-  PRIORITIES,
-} from '@azurecart/protocol';
-import type { Announcement, Release } from '@azurecart/protocol';
+import { Ledger } from '@azurecart/scheduling';
+import type { Engine, Grant, RefusalReason, Scheduler, Work } from '@azurecart/scheduling';
+import type { Release } from '@azurecart/protocol';
 import type { Invariants, Logger, Timeline } from '@azurecart/telemetry';
 import type { EntrySettings } from '../../settings/index.js';
 import type { EngineClient } from '../upstreams/index.js';
-import { CacheIndex } from './CacheIndex.js';
 import { createScheduler } from './createScheduler.js';
-import { EngineTask } from './EngineTask.js';
 import type {
   AnnounceAnswer,
   AnnounceCall,
@@ -23,7 +14,9 @@
   ReserveCall,
   SummaryMessage,
 } from './OwnerCalls.js';
-import { UpstreamRegistry } from './UpstreamRegistry.js';
+import { ShardUpstreams } from './ShardUpstreams.js';
+import { summariseShard } from './summariseShard.js';
+import { toWork } from './toWork.js';
 
 /** What the owner of a shard needs. */
 export interface ShardOwnerOptions {
@@ -48,36 +41,24 @@
 }
 
 const TICK_MS = 10;
-/** Clocks of two VMs may differ by this much over the length of a grant. */
-const GRANT_MARGIN_MS = 200;
-const NOMINAL_PROMPT_TOKENS = 1000;
-const NOMINAL_ANSWER_TOKENS = 50;
 const OWNER_CHANGED_RETRY_MS = 100;
 
 /** The one writer of the memory of a shard's engines. */
 export class ShardOwner {
   private readonly ledger = new Ledger();
 
-  private readonly registry: UpstreamRegistry;
-
-  private readonly cache = new CacheIndex();
-
-  private readonly tasks = new Map<string, EngineTask>();
+  private readonly upstreams: ShardUpstreams;
 
   private readonly waiting = new Map<string, Waiting>();
 
   private readonly scheduler: Scheduler;
 
-  private readonly startedAt = performance.now();
-
   private isStopped = false;
 
   constructor(private readonly options: ShardOwnerOptions) {
     const { settings, getRelease } = options;
-    this.registry = new UpstreamRegistry({
-      ttlMs: settings.announcementTtlMs,
-      now: () => performance.now(),
-    });
+    const onChange = (): void => this.dispatch();
+    this.upstreams = new ShardUpstreams({ ...options, ledger: this.ledger, onChange });
     this.scheduler = createScheduler({
       policy: settings.policy,
       ledger: this.ledger,
@@ -104,7 +85,7 @@
   async run(): Promise<void> {
     while (!this.isStopped) {
       await sleep(TICK_MS);
-      this.dropSilent();
+      this.upstreams.dropSilent();
       this.expire();
       this.dispatch();
       this.pauseVictims();
@@ -114,7 +95,7 @@
   /** Refuses everything that waits; nothing of it has run. */
   stop(): void {
     this.isStopped = true;
-    this.tasks.forEach((task) => task.stop());
+    this.upstreams.stop();
     this.waiting.forEach(({ work }) => this.refuse(work, 'owner-changed', OWNER_CHANGED_RETRY_MS));
   }
 
@@ -154,70 +135,15 @@
 
   /** Takes a message of an upstream. */
   announce(call: AnnounceCall): AnnounceAnswer {
-    const body = call.body ?? '';
-    switch (call.kind) {
-      case 'announce':
-        return this.takeAnnouncement(parseDocument(announcementSchema, body, 'announcement'));
-      case 'leave':
-        return this.takeDeparture(body);
-      case 'cache-events':
-        return this.takeCacheEvents(body);
-      default:
-        return { accepted: false, reason: `unknown kind ${call.kind}` };
-    }
+    return this.upstreams.announce(call);
   }
 
   /** Gets what other entry processes choose a shard by. */
   summarise(): SummaryMessage {
-    const engines = this.ledger.getEngines().filter((engine) => engine.isReady);
-    const models = new Set(engines.flatMap((engine) => [...engine.models]));
-    return {
-      shard: this.options.shard,
-      fence: BigInt(this.options.fence),
-      models: [...models].map((model) => this.summariseModel(model)),
-      services: this.registry
-        .getAll()
-        .filter(({ announcement }) => announcement.kind === 'service')
-        .map(({ announcement }) => ({
-          id: announcement.id,
-          address: announcement.address,
-          service: announcement.pool,
-          load: announcement.load?.running ?? 0,
-          dataCentre: announcement.dataCentre,
-        })),
-    };
-  }
-
-  private summariseModel(model: string): NonNullable<SummaryMessage['models']>[number] {
-    const engines = this.ledger.getServing(model);
-    const free = engines.map((engine) => engine.freeTokens);
-    return {
-      model,
-      upstreams: engines.length,
-      waitMs: PRIORITIES.map((priority) => this.getWaitMs(model, priority)),
-      largestFreeTokens: Math.max(0, ...free),
-      totalTokens: engines.reduce((sum, engine) => sum + engine.capacity.kvTokens, 0),
-      prefillTokensPerSecond: engines[0]?.capacity.prefillTokensPerSecond ?? 0,
-    };
-  }
-
-  private getWaitMs(model: string, priority: WorkPriority): number {
-    const now = performance.now();
-    return this.scheduler.getWaitMs({
-      id: '',
-      customer: '',
-      weight: 1,
-      priority,
-      model,
-      promptTokens: NOMINAL_PROMPT_TOKENS,
-      maxTokens: NOMINAL_ANSWER_TOKENS,
-      prefixes: [],
-      arrivedAt: now,
-      dueAt: Infinity,
-      queueLimitMs: Infinity,
-      isLong: false,
-      avoided: [],
-    });
+    const { ledger, scheduler, options } = this;
+    const { shard, fence } = options;
+    const services = this.upstreams.getServices();
+    return summariseShard({ shard, fence, ledger, scheduler, services });
   }
 
   private dispatch(): void {
@@ -317,118 +243,8 @@
   private isHeld(request: string): boolean {
     return this.ledger.getEngines().some((engine) => engine.getReservation(request));
   }
-
-  private takeAnnouncement(announcement: Announcement): AnnounceAnswer {
-    const { id, incarnation } = announcement;
-    const known = this.registry.getUpstream(id)?.announcement;
-    if (!this.registry.announce(announcement)) return { accepted: false, reason: 'old message' };
-    if (known?.incarnation !== incarnation) this.startUpstream(announcement);
-    this.takeLoad(announcement);
-    return { accepted: true, resync: false };
-  }
-
-  private startUpstream(announcement: Announcement): void {
-    const { id, incarnation, engine: capacity } = announcement;
-    const { timeline, fence } = this.options;
-    timeline.record('upstream-announced', { upstream: id, detail: incarnation, fence });
-    this.stopEngine(id);
-    if (!capacity) return;
-    const engine = new Engine({ id, address: announcement.address, capacity });
-    this.ledger.addEngine(engine);
-    const task = this.createTask(engine, announcement);
-    this.tasks.set(id, task);
-    task.run().catch((error: unknown) => this.options.logger.error({ err: error }, 'engine task'));
-  }
-
-  private createTask(engine: Engine, announcement: Announcement): EngineTask {
-    const { options } = this;
-    const { id } = engine;
-    return new EngineTask({
-      engine,
-      incarnation: announcement.incarnation,
-      pool: announcement.pool,
-      fence: options.fence,
-      client: options.client,
-      cache: this.cache,
-      oldGrantsEndAt: this.startedAt + options.settings.startWithinMs + GRANT_MARGIN_MS,
-      getRelease: options.getRelease,
-      isOwner: options.isOwner,
-      hasLead: (request) => this.hasLead(request),
-      isSessionOpen: options.isSessionOpen,
-      acquireLoad: (model) => options.acquireLoad(id, model),
-      releaseLoad: (model) => options.releaseLoad(id, model),
-      onChange: () => this.dispatch(),
-      timeline: options.timeline,
-      invariants: options.invariants,
-      logger: options.logger,
-    });
-  }
-
-  private hasLead(request: string): boolean {
-    return this.ledger.getEngines().some((engine) => engine.getReservation(request)?.leads);
-  }
-
-  private takeLoad({ id, load }: Announcement): void {
-    const engine = this.ledger.getEngine(id);
-    if (!engine || !load) return;
-    const measuredAt = performance.now() - load.ageMs;
-    engine.report = { measuredAt, running: load.running, queuedTokens: load.queuedTokens };
-    this.dispatch();
-  }
-
-  private takeDeparture(body: string): AnnounceAnswer {
-    const departure = parseDocument(departureSchema, body, 'departure');
-    if (!this.registry.leave(departure)) return { accepted: false, reason: 'old message' };
-    this.options.timeline.record('upstream-left', { upstream: departure.id });
-    const engine = this.ledger.getEngine(departure.id);
-    if (engine) engine.isReady = false;
-    this.stopEngine(departure.id);
-    return { accepted: true };
-  }
-
-  private takeCacheEvents(body: string): AnnounceAnswer {
-    const events = parseDocument(cacheEventsSchema, body, 'cache events');
-    const engine = this.ledger.getEngine(events.id);
-    if (!engine) return { accepted: false, reason: 'unknown upstream' };
-    return { accepted: true, resync: !this.cache.apply(engine, events) };
-  }
-
-  private dropSilent(): void {
-    for (const { announcement } of this.registry.takeSilent()) {
-      this.options.timeline.record('upstream-silent', { upstream: announcement.id });
-      this.stopEngine(announcement.id);
-    }
-  }
-
-  private stopEngine(id: string): void {
-    this.tasks.get(id)?.stop();
-    this.tasks.delete(id);
-    const engine = this.ledger.getEngine(id);
-    if (engine) this.cache.drop(engine);
-    this.ledger.removeEngine(id);
-  }
 }
 
 function toRefusal(reason: RefusalReason, retryAfterMs: number): ReserveAnswer {
   return { granted: false, reason, retryAfterMs };
 }
-
-function toWork(call: ReserveCall, release: Release | undefined): Work {
-  const now = performance.now();
-  const promptTokens = call.promptTokens ?? 0;
-  return {
-    id: call.requestId ?? '',
-    customer: call.customer ?? '',
-    weight: call.weight || 1,
-    priority: PRIORITIES.find((priority) => priority === call.priority) ?? 'batch',
-    model: call.model ?? '',
-    promptTokens,
-    maxTokens: call.maxTokens ?? 0,
-    prefixes: call.prefixes ?? [],
-    arrivedAt: now,
-    dueAt: now + (call.deadlineMs ?? 0),
-    queueLimitMs: call.queueLimitMs ?? 0,
-    isLong: promptTokens >= (release?.routing.longTokens ?? Infinity),
-    avoided: call.avoidedUpstreams ?? [],
-  };
-}
--- a/packages/daemon/src/rpc/RpcClients.ts
+++ b/packages/daemon/src/rpc/RpcClients.ts
@@ -1,4 +1,6 @@
+import { readFileSync } from 'node:fs';
 import { Agent } from 'node:http';
+import { Agent as TlsAgent } from 'node:https';
 import { createClient } from '@connectrpc/connect';
 import type { Client, Transport } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
@@ -23,7 +25,18 @@
 export class RpcClients {
   private readonly pools = new Map<string, Pool>();
 
-  constructor(private readonly context: RpcContext) {}
+  private readonly ca: Buffer | undefined;
+
+  /**
+   * @param context - What every call carries.
+   * @param caFile - PEM file of the authority whose certificates peers must have; plain TCP without.
+   */
+  constructor(
+    private readonly context: RpcContext,
+    caFile?: string,
+  ) {
+    this.ca = caFile === undefined ? undefined : readFileSync(caFile);
+  }
 
   /** Gets a client of a service at an address. */
   getClient<T extends DescService>(service: T, address: string): Client<T> {
@@ -52,9 +65,10 @@
   }
 
   private createPool(address: string): Pool {
-    const agent = new Agent({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS });
+    const options = { keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS } as const;
+    const agent = this.ca ? new TlsAgent({ ...options, ca: this.ca }) : new Agent(options);
     const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
+      baseUrl: `${this.ca ? 'https' : 'http'}://${address}`,
       httpVersion: '1.1',
       nodeOptions: { agent },
       interceptors: [this.context.clientInterceptor],
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -28,6 +28,12 @@
   dataCentre: z.string().min(1).describe('Data centre of the VM'),
   rpc: listenerSchema.describe('Listener for the other processes of the system'),
   address: address.describe('Address by which the other processes reach the rpc listener'),
+  peerCaFile: z
+    .string()
+    .optional()
+    .describe(
+      'PEM file with the certificate authority of the rpc listeners; calls use TLS with it',
+    ),
   secrets: secretsSchema,
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
   timelineFile: z.string().optional().describe('JSON lines file for time line events'),
--- /dev/null
+++ b/packages/daemon/tests/rpc/rpc.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Code, ConnectError } from '@connectrpc/connect';
+import { generate } from 'selfsigned';
+import { OwnerService } from '@azurecart/protocol';
+import { HybridClock } from '@azurecart/telemetry';
+import { addOwnerRoutes } from '../../src/entry/owner/index.js';
+import type { OwnerCalls } from '../../src/entry/owner/index.js';
+import { RpcClients, RpcContext, RpcServer, Secret } from '../../src/index.js';
+
+const OWNERS: OwnerCalls = {
+  reserve: async () => ({ granted: true }),
+  release: async () => undefined,
+  markDecoding: async () => undefined,
+  announce: async () => ({ accepted: true }),
+  summarise: async (shard) => ({ shard, models: [], services: [] }),
+};
+
+function createContext(secret: string): RpcContext {
+  return new RpcContext({ secret: new Secret(secret), clock: new HybridClock() });
+}
+
+async function getPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+/** Runs a server and one call to it. */
+async function summarise(secret: string, files?: { certificateFile: string; keyFile: string }) {
+  const port = await getPort();
+  const server = new RpcServer({
+    listener: { host: '127.0.0.1', port, tls: files },
+    context: createContext('right'),
+    routes: (router) => addOwnerRoutes(router, OWNERS),
+  });
+  const clients = new RpcClients(createContext(secret), files?.certificateFile);
+  await server.start();
+  try {
+    const client = clients.getClient(OwnerService, `127.0.0.1:${port}`);
+    return await client.summarise({ shard: 'a/0' }, { timeoutMs: 5000 });
+  } finally {
+    clients.close();
+    await server.stop();
+  }
+}
+
+test('a call with the peers’ secret is answered', async () => {
+  assert.equal((await summarise('right')).summary?.shard, 'a/0');
+});
+
+test('a call with another secret is refused', async () => {
+  await assert.rejects(summarise('wrong'), (error) => {
+    return ConnectError.from(error).code === Code.Unauthenticated;
+  });
+});
+
+test('calls between processes use TLS when the settings say so', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'azurecart-'));
+  const files = { certificateFile: join(folder, 'cert.pem'), keyFile: join(folder, 'key.pem') };
+  const pems = await generate([{ name: 'commonName', value: '127.0.0.1' }], {
+    extensions: [
+      { name: 'basicConstraints', cA: true },
+      { name: 'subjectAltName', altNames: [{ type: 7, ip: '127.0.0.1' }] },
+    ],
+  });
+  await writeFile(files.certificateFile, pems.cert);
+  await writeFile(files.keyFile, pems.private);
+  assert.equal((await summarise('right', files)).summary?.shard, 'a/0');
+  await rm(folder, { recursive: true });
+});
--- a/packages/fakes/src/prove/Bookings.ts
+++ b/packages/fakes/src/prove/Bookings.ts
@@ -58,9 +58,18 @@
   }
 }
 
+/** What an upstream noted when it began to run something. */
+export interface RunNote {
+  name: string;
+  attempt: string;
+  /** True when the fencing number was below the highest one seen. */
+  isStale: boolean;
+  sinceLeaveMs: number;
+}
+
 /** Gets what upstreams noted of their runs. */
-export async function readRuns(files: string[]): Promise<{ name: string; attempt: string }[]> {
+export async function readRuns(files: string[]): Promise<RunNote[]> {
   const texts = await Promise.all(files.map((file) => readFile(file, 'utf8').catch(() => '')));
   const lines = texts.flatMap((text) => text.split('\n').filter((line) => line !== ''));
-  return lines.map((line) => JSON.parse(line) as { name: string; attempt: string });
+  return lines.map((line) => JSON.parse(line) as RunNote);
 }
--- a/packages/fakes/src/prove/Faults.ts
+++ b/packages/fakes/src/prove/Faults.ts
@@ -32,6 +32,9 @@
   /** Entry processes that get no new requests, as the balancer would see to. */
   readonly leaving = new Set<FleetMember>();
 
+  /** Entry processes that are ending in good order just now. */
+  readonly stopping = new Set<FleetMember>();
+
   private readonly busy = new Set<unknown>();
 
   private readonly faults: Fault[];
@@ -139,9 +142,12 @@
   private async stopEntry(): Promise<void> {
     const { entries } = this.options.fleet;
     await this.on(entries, async (entry) => {
+      if (this.busy.has(entry.process)) return;
       this.busy.add(entry.process);
       this.leaving.add(entry);
+      this.stopping.add(entry);
       await entry.process.stop();
+      this.stopping.delete(entry);
       entry.process.start();
       await sleep(2000);
       this.leaving.delete(entry);
