--- a/packages/daemon/tests/rpc/rpc.test.ts
+++ b/packages/daemon/tests/rpc/rpc.test.ts
@@ -61,9 +61,10 @@
 });
 
 test('a call with another secret is refused', async () => {
-  await assert.rejects(summarise('wrong'), (error) => {
-    return ConnectError.from(error).code === Code.Unauthenticated;
-  });
+  await assert.rejects(
+    summarise('wrong'),
+    (error) => ConnectError.from(error).code === Code.Unauthenticated,
+  );
 });
 
 test('calls between processes use TLS when the settings say so', async () => {
