--- a/packages/fakes/tests/startFleet.ts
+++ b/packages/fakes/tests/startFleet.ts
@@ -37,12 +37,13 @@
     ...options.fleet,
   });
   await fleet.start();
+  const dataCentres = options.fleet?.dataCentres ?? DATA_CENTRES;
   const count = options.engines ?? 3;
   const [enginePorts, servicePorts] = [await getFreePorts(count), await getFreePorts(2)];
   const start =
     (kind: string, pool: string, changes?: Record<string, unknown>) =>
     (port: number, index: number) => {
-      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length];
+      const dataCentre = dataCentres[index % dataCentres.length];
       const settings = { kind, pool, id: `${kind}-${index}`, port, dataCentre, ...changes };
       return { child: fleet.startUpstreams([settings]), url: `http://127.0.0.1:${port}` };
     };
