Pause only for room, and never refuse what was paused

Ruled out: a longer wait before a pause (it only thrashes more slowly).

Change: no pause while any engine has the room; what was placed for its minimum share is not paused; a request that has run in part is not refused by admission and may wait until its deadline.

--- a/packages/daemon/src/entry/clients/Generation.ts
+++ b/packages/daemon/src/entry/clients/Generation.ts
@@ -166,6 +166,7 @@
 
   private getCall(shard: string): Parameters<OwnerCalls['reserve']>[0] {
     const { id, summary, terms, customer, release } = this.options;
+    const deadlineMs = Math.max(1, Math.floor(this.dueAt - performance.now()));
     const remainingTokens = Math.max(1, summary.maxTokens - this.producedTokens);
     return {
       shard,
@@ -177,8 +178,9 @@
       promptTokens: summary.promptTokens + this.producedTokens,
       maxTokens: remainingTokens,
       prefixes: summary.prefixes,
-      deadlineMs: Math.max(1, Math.floor(this.dueAt - performance.now())),
-      queueLimitMs: release.priorities[terms.priority].firstTokenMs,
+      deadlineMs,
+      queueLimitMs: this.hasRun ? deadlineMs : release.priorities[terms.priority].firstTokenMs,
+      resumed: this.hasRun,
       session: this.context.getSession(),
       avoidedUpstreams: [...this.avoided],
     };
--- a/packages/daemon/src/entry/owner/reconcileHeld.ts
+++ b/packages/daemon/src/entry/owner/reconcileHeld.ts
@@ -56,6 +56,7 @@
     isSeen: true,
     isDecoding: true,
     session: '',
+    isPausable: false,
     isPausing: false,
     enginePriority: 0,
   };
--- a/packages/daemon/src/entry/owner/summariseShard.ts
+++ b/packages/daemon/src/entry/owner/summariseShard.ts
@@ -63,6 +63,7 @@
     dueAt: Infinity,
     queueLimitMs: Infinity,
     isLong: false,
+    isResumed: false,
     avoided: [],
   });
 }
--- a/packages/daemon/src/entry/owner/toWork.ts
+++ b/packages/daemon/src/entry/owner/toWork.ts
@@ -20,6 +20,7 @@
     dueAt: now + (call.deadlineMs ?? 0),
     queueLimitMs: call.queueLimitMs ?? 0,
     isLong: promptTokens >= (release?.routing.longTokens ?? Infinity),
+    isResumed: call.resumed ?? false,
     avoided: call.avoidedUpstreams ?? [],
   };
 }
--- a/packages/daemon/tests/entry/owner.test.ts
+++ b/packages/daemon/tests/entry/owner.test.ts
@@ -65,6 +65,7 @@
     isSeen: false,
     isDecoding: false,
     session: 's',
+    isPausable: false,
     isPausing: false,
     enginePriority: 0,
     ...changes,
--- a/packages/scheduling/src/ledger/Reservation.ts
+++ b/packages/scheduling/src/ledger/Reservation.ts
@@ -24,6 +24,8 @@
   isDecoding: boolean;
   /** Session of the entry process that holds the grant; empty when adopted from the engine. */
   session: string;
+  /** True when the request may give way to urgent work. */
+  isPausable: boolean;
   /** True once a pause was asked for. */
   isPausing: boolean;
   /** Engine priority of the grant: lower numbers run first. */
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -45,7 +45,9 @@
   /** Queues a work, or refuses it at once. */
   submit(work: Work, session: string): Refusal | undefined {
     const { admission, queue, ledger, now } = this.options;
-    const refusal = admission.getRefusal({ work, queue, ledger, now: now() });
+    const isAdmitted = work.isResumed;
+    const request = { work, queue, ledger, now: now() };
+    const refusal = isAdmitted ? undefined : admission.getRefusal(request);
     if (refusal) return refusal;
     this.sessions.set(work.id, session);
     queue.add(work);
@@ -102,11 +104,11 @@
     if (!place) return undefined;
     queue.onPlaced(work, now());
     queue.remove(work.id);
-    this.reserve(work, place);
+    this.reserve(work, place, isShareDue);
     return { work, place, queuedMs: now() - work.arrivedAt };
   }
 
-  private reserve(work: Work, place: Place): void {
+  private reserve(work: Work, place: Place, isShareDue: boolean): void {
     const grantedAt = this.options.now();
     place.shares.forEach(({ engine, tokens }, position) =>
       engine.addReservation({
@@ -124,6 +126,7 @@
         isSeen: false,
         isDecoding: false,
         session: this.sessions.get(work.id) ?? '',
+        isPausable: work.priority === 'batch' && !isShareDue,
         isPausing: false,
         enginePriority: place.enginePriority,
       }),
--- a/packages/scheduling/src/scheduler/findVictims.ts
+++ b/packages/scheduling/src/scheduler/findVictims.ts
@@ -3,11 +3,16 @@
 import type { Work } from '../work/index.js';
 import type { Victim } from './Scheduler.js';
 
-/** Finds the smallest set of batch reservations on one engine whose end makes room for a work. */
+/**
+ * Finds the smallest set of batch reservations on one engine whose end makes room for a work; none
+ * when an engine has the room already and only its backlog is in the way.
+ */
 export function findVictims(work: Work, ledger: Ledger): Victim[] {
-  const plans = ledger
-    .getServing(work.model)
-    .map((engine) => getPlan(engine, getMemoryTokens(work)))
+  const tokens = getMemoryTokens(work);
+  const engines = ledger.getServing(work.model);
+  if (engines.some((engine) => hasRoom(engine, tokens))) return [];
+  const plans = engines
+    .map((engine) => getPlan(engine, tokens))
     .filter((plan) => plan !== undefined);
   const [best] = plans.sort((a, b) => a.length - b.length);
   return best ?? [];
@@ -29,6 +34,10 @@
   return free >= tokens && slots > 0 && victims.length > 0 ? victims : undefined;
 }
 
+function hasRoom(engine: Engine, tokens: number): boolean {
+  return engine.freeTokens >= tokens && engine.running < engine.capacity.maxBatch;
+}
+
 function isPausable(reservation: Reservation): boolean {
-  return reservation.priority === 'batch' && reservation.leads && reservation.isSeen;
+  return reservation.isPausable && reservation.leads && reservation.isSeen;
 }
--- a/packages/scheduling/src/work/Work.ts
+++ b/packages/scheduling/src/work/Work.ts
@@ -24,6 +24,8 @@
   queueLimitMs: number;
   /** True when a longer prompt must not share an engine with short ones. */
   isLong: boolean;
+  /** True when the work was admitted before and has run in part. */
+  isResumed: boolean;
   /** Engines that failed an earlier attempt. */
   avoided: string[];
 }
--- a/packages/scheduling/tests/samples.ts
+++ b/packages/scheduling/tests/samples.ts
@@ -19,6 +19,7 @@
     dueAt: 10_000,
     queueLimitMs: 5000,
     isLong: false,
+    isResumed: false,
     avoided: [],
     ...changes,
   };
@@ -61,6 +62,7 @@
     isSeen: true,
     isDecoding: false,
     session: 's',
+    isPausable: true,
     isPausing: false,
     enginePriority: 8,
     ...changes,
--- a/packages/scheduling/tests/scheduler/Scheduler.test.ts
+++ b/packages/scheduling/tests/scheduler/Scheduler.test.ts
@@ -53,9 +53,40 @@
   assert.equal(scheduler.findVictims().length, 1);
 });
 
+test('nothing is paused while an engine has room', () => {
+  const [a, b] = [createEngine('a'), createEngine('b')];
+  a.addReservation(createReservation({ tokens: 9500, isDecoding: true }));
+  b.addReservation(
+    createReservation({ prefillTokens: 9000, enginePriority: 0, priority: 'urgent' }),
+  );
+  const scheduler = createScheduler(createLedger(a, b));
+  scheduler.submit(createWork({ priority: 'urgent' }), 's');
+  now = 50;
+  assert.equal(scheduler.dispatch().length, 0, 'the backlog is in the way');
+  assert.equal(scheduler.findVictims().length, 0);
+});
+
+test('what runs for its minimum share is not paused', () => {
+  const engine = createEngine('a');
+  engine.addReservation(createReservation({ tokens: 9500, isDecoding: true, isPausable: false }));
+  const scheduler = createScheduler(createLedger(engine));
+  scheduler.submit(createWork({ priority: 'urgent' }), 's');
+  now = 50;
+  assert.equal(scheduler.findVictims().length, 0);
+});
+
+test('a paused work is not refused when it comes back', () => {
+  const scheduler = createScheduler(createLedger(createEngine('a')), false);
+  const late = { dueAt: 500, queueLimitMs: 500 };
+  assert.equal(scheduler.submit(createWork(late), 's')?.reason, 'deadline');
+  assert.equal(scheduler.submit(createWork({ ...late, isResumed: true }), 's'), undefined);
+});
+
 test('urgent work is not paused', () => {
   const engine = createEngine('a');
-  engine.addReservation(createReservation({ tokens: 9500, priority: 'urgent', isDecoding: true }));
+  engine.addReservation(
+    createReservation({ tokens: 9500, priority: 'urgent', isDecoding: true, isPausable: false }),
+  );
   const scheduler = createScheduler(createLedger(engine));
   scheduler.submit(createWork({ priority: 'urgent' }), 's');
   now = 50;
