Weigh mixed lengths by what they cost

Cause: a short prompt avoided an engine with a long one at the price of up to 60 ms of queueing elsewhere, although the engine runs short prompts first and only the step under way delays them.

Change: sharing steps with another length class counts 20 ms in the score.

--- a/packages/scheduling/src/placement/ClassPlacement.ts
+++ b/packages/scheduling/src/placement/ClassPlacement.ts
@@ -21,6 +21,8 @@
 const LEVELS_PER_PRIORITY = 4;
 /** Time by which a step shared with other prompts delays one that runs first. */
 const STEP_MS = 10;
+/** Time by which steps shared with a prompt of another length class delay a prompt. */
+const LONG_MIX_MS = 20;
 /** Cost of a running request beside a new one, as a part of a decode step. */
 const BATCH_WEIGHT = 0.1;
 
@@ -80,7 +82,7 @@
   /** Gets the cost of sharing steps with prompts of another length or priority. */
   private getMixMs(engine: Engine, work: Work, enginePriority: number, now: number): number {
     const others = engine.getReservations().filter((other) => engine.isPrefilling(other, now));
-    if (others.some((other) => other.isLong !== work.isLong)) return this.getBacklogLimit();
+    if (others.some((other) => other.isLong !== work.isLong)) return LONG_MIX_MS;
     return others.some((other) => other.enginePriority !== enginePriority) ? STEP_MS : 0;
   }
 
