Keep shards over a lapse of the lease; newcomers run before what is there

Change: tasks go on after a lapse and read the engine's state first; a claim that was not answered is given back; a customer counts as over its share as if one more were present; refusable decisions are results; the floor bench takes its shares within the flood, not over the quiet after it.

--- a/packages/daemon/src/control/ControlServices.ts
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -154,13 +154,14 @@
       operator: request.operator,
       atMs: Date.now(),
     });
-    const receipt = decision.accepted ? decision.receipt : decision.winner;
-    const kind = decision.accepted ? 'release-accepted' : 'release-refused';
+    const accepted = decision.isOk();
+    const receipt = accepted ? decision.value : decision.error.winner;
+    const kind = accepted ? 'release-accepted' : 'release-refused';
     this.options.timeline.record(kind, { release: release.number, detail: request.operator });
     return {
-      accepted: decision.accepted,
+      accepted,
       number: BigInt(receipt?.number ?? release.number),
-      reason: decision.accepted ? '' : decision.reason,
+      reason: accepted ? '' : decision.error.reason,
       operator: receipt?.operator ?? '',
       digest: receipt?.digest ?? '',
       acceptedAtMs: BigInt(receipt?.atMs ?? 0),
--- a/packages/daemon/src/control/ReleaseTable.ts
+++ b/packages/daemon/src/control/ReleaseTable.ts
@@ -1,3 +1,6 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+
 /** Proof that a release was accepted. */
 export interface Receipt {
   number: number;
@@ -6,10 +9,15 @@
   atMs: number;
 }
 
+/** Why a release was refused. */
+export interface ReleaseRefusal {
+  reason: string;
+  /** Receipt of the release that has the number; undefined when none has. */
+  winner: Receipt | undefined;
+}
+
 /** What became of a submitted release. */
-export type SubmitDecision =
-  | { accepted: true; receipt: Receipt }
-  | { accepted: false; reason: string; winner: Receipt | undefined };
+export type SubmitDecision = Result<Receipt, ReleaseRefusal>;
 
 /** The release in force and the receipts of earlier ones. */
 export interface ReleaseTableState {
@@ -44,7 +52,7 @@
     if (receipt.number === this.number + 1) return this.accept(receipt, text);
     if (receipt.number > this.number) {
       const reason = `follows release ${receipt.number - 1}, but the latest is ${this.number}`;
-      return { accepted: false, reason, winner: undefined };
+      return Err({ reason, winner: undefined });
     }
     return this.compare(receipt);
   }
@@ -62,14 +70,14 @@
     this.text = text;
     this.receipts.push(receipt);
     if (this.receipts.length > RECEIPT_LIMIT) this.receipts.shift();
-    return { accepted: true, receipt };
+    return Ok(receipt);
   }
 
   private compare(receipt: Receipt): SubmitDecision {
     const winner = this.receipts.find(({ number }) => number === receipt.number);
-    if (winner?.digest === receipt.digest) return { accepted: true, receipt: winner };
+    if (winner?.digest === receipt.digest) return Ok(winner);
     const who = winner ? `by ${winner.operator}` : 'long ago';
     const reason = `release ${receipt.number} was accepted ${who} with other content`;
-    return { accepted: false, reason, winner };
+    return Err({ reason, winner });
   }
 }
--- a/packages/daemon/src/entry/clients/ServiceHandler.ts
+++ b/packages/daemon/src/entry/clients/ServiceHandler.ts
@@ -124,10 +124,17 @@
         timeoutMs: CONTROL_TIMEOUT_MS,
       });
     } catch {
+      this.giveBackClaim(key, claimant);
       throw createRefusal('no_claim', 'the call could not be recorded, so it was not sent');
     }
   }
 
+  /** Gives up a claim whose answer was lost, so that the key can be used again. */
+  private giveBackClaim(key: string, claimant: string): void {
+    const result = { kind: 'not-run' as const, status: 0, contentType: '', body: new Uint8Array() };
+    this.settle(key, claimant, result).catch(() => undefined);
+  }
+
   private async runClaimed(prepared: PreparedCall, key: string): Promise<ServiceAnswer> {
     const claimant = prepared.id;
     try {
--- a/packages/daemon/src/entry/owner/EngineTask.ts
+++ b/packages/daemon/src/entry/owner/EngineTask.ts
@@ -47,12 +47,16 @@
 
   constructor(private readonly options: EngineTaskOptions) {}
 
-  /** Runs until the engine leaves or the shard has another owner. */
+  /**
+   * Runs until stopped. While this process's lease is over nothing is granted; when the lease is
+   * renewed in time to keep the shard, the engine's state is read again first.
+   */
   async run(): Promise<void> {
     const { engine, logger } = this.options;
-    while (!this.isStopped && this.options.isOwner()) {
+    while (!this.isStopped) {
       try {
-        await this.tend();
+        if (this.options.isOwner()) await this.tend();
+        else engine.isReady = false;
       } catch (error) {
         engine.isReady = false;
         logger.debug({ err: error, upstream: engine.id }, 'engine not reached');
--- a/packages/daemon/src/entry/owner/ShardOwner.ts
+++ b/packages/daemon/src/entry/owner/ShardOwner.ts
@@ -96,7 +96,7 @@
   stop(): void {
     this.isStopped = true;
     this.upstreams.stop();
-    this.waiting.forEach(({ work }) => this.refuse(work, 'owner-changed', OWNER_CHANGED_RETRY_MS));
+    this.refuseAll();
   }
 
   /** Waits for memory. The answer is a grant or a refusal. */
@@ -108,8 +108,11 @@
     if (this.waiting.has(work.id) || this.isHeld(work.id)) {
       return Promise.resolve(toRefusal('queue-full', OWNER_CHANGED_RETRY_MS));
     }
-    const refusal = this.scheduler.submit(work, call.session ?? '');
-    if (refusal) return Promise.resolve(toRefusal(refusal.reason, refusal.retryAfterMs));
+    const submitted = this.scheduler.submit(work, call.session ?? '');
+    if (submitted.isErr()) {
+      const { reason, retryAfterMs } = submitted.error;
+      return Promise.resolve(toRefusal(reason, retryAfterMs));
+    }
     return new Promise((settle) => {
       this.waiting.set(work.id, { work, settle });
       signal.addEventListener('abort', () => this.refuse(work, 'cancelled', 0), { once: true });
@@ -149,7 +152,7 @@
   private dispatch(): void {
     if (this.isStopped || this.waiting.size === 0) return;
     if (!this.options.isOwner()) {
-      this.stop();
+      this.refuseAll();
       return;
     }
     for (const grant of this.scheduler.dispatch()) this.answer(grant);
@@ -217,6 +220,10 @@
     await Promise.allSettled(engines.map((engine) => client.send(engine.address, fence, action)));
   }
 
+  private refuseAll(): void {
+    this.waiting.forEach(({ work }) => this.refuse(work, 'owner-changed', OWNER_CHANGED_RETRY_MS));
+  }
+
   private refuse(work: Work, reason: RefusalReason, retryAfterMs: number): void {
     const waiting = this.waiting.get(work.id);
     this.waiting.delete(work.id);
--- a/packages/fakes/src/load/GroupResult.ts
+++ b/packages/fakes/src/load/GroupResult.ts
@@ -16,6 +16,8 @@
 
   usefulTokens = 0;
 
+  private readonly completions: { atMs: number; tokens: number }[] = [];
+
   /** Reasons of refusals and failures, by number. */
   readonly codes: Record<string, number> = {};
 
@@ -23,16 +25,28 @@
 
   readonly total: Histogram = build({ highestTrackableValue: 600_000 });
 
-  add(result: PromptResult): void {
+  /**
+   * Adds a result.
+   * @param atMs - Time of its end since the start of the load.
+   */
+  add(result: PromptResult, atMs: number): void {
     this.sent += 1;
     this[result.kind] += 1;
     if (result.code !== '') this.codes[result.code] = (this.codes[result.code] ?? 0) + 1;
     if (result.kind !== 'whole') return;
-    this.usefulTokens += result.promptTokens + result.answerTokens;
+    const tokens = result.promptTokens + result.answerTokens;
+    this.usefulTokens += tokens;
+    this.completions.push({ atMs, tokens });
     this.firstToken.recordValue(result.firstTokenMs);
     this.total.recordValue(result.totalMs);
   }
 
+  /** Gets the tokens of the answers that were whole within a span of time. */
+  getUsefulTokens(fromMs: number, toMs: number): number {
+    const within = this.completions.filter(({ atMs }) => atMs >= fromMs && atMs < toMs);
+    return within.reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
   toJson(): Record<string, unknown> {
     const { sent, whole, refused, failed, wrong, codes } = this;
     return {
--- a/packages/fakes/src/load/runLoad.ts
+++ b/packages/fakes/src/load/runLoad.ts
@@ -2,6 +2,7 @@
 import { GroupResult } from './GroupResult.js';
 import type { Arrival } from './drawArrivals.js';
 import { PromptClient } from './PromptClient.js';
+import type { PromptResult } from './PromptClient.js';
 import type { Random } from './Random.js';
 
 let run = 0;
@@ -24,7 +25,9 @@
     const { group, ...prompt } = arrival;
     const name = `${run} ${group} ${index}`;
     const sending = client.send({ ...prompt, url: random.pick(urls), name });
-    open.push(sending.then((result) => results.get(group)?.add(result)));
+    const note = (result: PromptResult): void =>
+      results.get(group)?.add(result, performance.now() - startedAt);
+    open.push(sending.then(note));
   }
   await Promise.all(open);
   client.close();
--- a/packages/fakes/tests/promises.test.ts
+++ b/packages/fakes/tests/promises.test.ts
@@ -159,6 +159,15 @@
   assert.equal(await getSum(running.fleet, 'azurecart_release'), 6);
 });
 
+test('service comes back after control was away for longer than a lease', async () => {
+  running.fleet.controls.forEach((member) => member.process.freeze());
+  await sleep(4000);
+  assert.equal((await ask(running)).outcome, 'not-run');
+  running.fleet.controls.forEach((member) => member.process.wake());
+  await waitFor(async () => (await ask(running)).kind === 'whole', 'it serves again');
+  assert.equal((await ask(running, { url: running.fleet.entryUrls[1] ?? '' })).kind, 'whole');
+});
+
 test('a graceful shutdown cuts no answer', async () => {
   const entry = running.fleet.entries[0];
   const answers = Array.from({ length: 10 }, () => ask(running, { maxTokens: 200 }));
--- a/packages/scheduling/src/placement/ClassPlacement.ts
+++ b/packages/scheduling/src/placement/ClassPlacement.ts
@@ -75,17 +75,10 @@
     const uncached = work.promptTokens - this.getCachedTokens(engine, work);
     const ownMs = (uncached / engine.capacity.prefillTokensPerSecond) * 1000;
     const batchMs = engine.running * engine.capacity.decodeStepMs * BATCH_WEIGHT;
-    const mixMs = this.getMixMs(engine, work, enginePriority, now);
+    const mixMs = getMixMs(engine, work, enginePriority, now);
     return ownMs + engine.getBacklogMs(enginePriority, now) + batchMs + mixMs;
   }
 
-  /** Gets the cost of sharing steps with prompts of another length or priority. */
-  private getMixMs(engine: Engine, work: Work, enginePriority: number, now: number): number {
-    const others = engine.getReservations().filter((other) => engine.isPrefilling(other, now));
-    if (others.some((other) => other.isLong !== work.isLong)) return LONG_MIX_MS;
-    return others.some((other) => other.enginePriority !== enginePriority) ? STEP_MS : 0;
-  }
-
   /** Batch work stays off the engines that are kept clear for urgent work. */
   private isOpen(engine: Engine, request: PlacementRequest, engines: Engine[]): boolean {
     const { work, isShareDue, now } = request;
@@ -154,6 +147,13 @@
   }
 }
 
+/** Gets the cost of sharing steps with prompts of another length or priority. */
+function getMixMs(engine: Engine, work: Work, enginePriority: number, now: number): number {
+  const others = engine.getReservations().filter((other) => engine.isPrefilling(other, now));
+  if (others.some((other) => other.isLong !== work.isLong)) return LONG_MIX_MS;
+  return others.some((other) => other.enginePriority !== enginePriority) ? STEP_MS : 0;
+}
+
 /** Gets the level at which the engine runs a work: priority, then length, then fair share. */
 function getEnginePriority({ work, isShareDue }: PlacementRequest, engines: Engine[]): number {
   const level = isShareDue ? 0 : WORK_PRIORITIES.indexOf(work.priority);
@@ -162,7 +162,10 @@
   return level * LEVELS_PER_PRIORITY + length + share;
 }
 
-/** Tells whether a customer holds more memory than its equal part of what its priority uses. */
+/**
+ * Tells whether a customer holds more memory than its equal part of what its priority uses. One more
+ * customer counts as present, so that a newcomer runs before what is there.
+ */
 function isOverShare(work: Work, engines: Engine[]): boolean {
   const held = new Map<string, number>();
   for (const engine of engines) {
@@ -173,7 +176,7 @@
   const own = (held.get(work.customer) ?? 0) + getMemoryTokens(work);
   held.set(work.customer, own);
   const total = [...held.values()].reduce((sum, tokens) => sum + tokens, 0);
-  return held.size > 1 && own > total / held.size;
+  return own > total / (held.size + 1);
 }
 
 function chooseGang(engines: Engine[], tokens: number): Set<string> {
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -1,3 +1,5 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import type { Admission, Refusal, RefusalReason } from '../admission/index.js';
 import type { Engine, Ledger, Reservation } from '../ledger/index.js';
 import type { Place, Placement } from '../placement/index.js';
@@ -43,15 +45,15 @@
   constructor(private readonly options: SchedulerOptions) {}
 
   /** Queues a work, or refuses it at once. */
-  submit(work: Work, session: string): Refusal | undefined {
+  submit(work: Work, session: string): Result<Work, Refusal> {
     const { admission, queue, ledger, now } = this.options;
     const isAdmitted = work.isResumed;
     const request = { work, queue, ledger, now: now() };
     const refusal = isAdmitted ? undefined : admission.getRefusal(request);
-    if (refusal) return refusal;
+    if (refusal) return Err(refusal);
     this.sessions.set(work.id, session);
     queue.add(work);
-    return undefined;
+    return Ok(work);
   }
 
   /** Removes a queued work; gets false when it is not queued. */
--- a/packages/scheduling/tests/placement/placement.test.ts
+++ b/packages/scheduling/tests/placement/placement.test.ts
@@ -108,6 +108,14 @@
   assert.ok((small?.enginePriority ?? 99) <= (large?.enginePriority ?? 0));
 });
 
+test('a newcomer runs before a customer that has all engines', () => {
+  const a = createEngine('a');
+  const lone = place(createWork({ customer: 'large' }), [a]);
+  a.addReservation(createReservation({ customer: 'large', priority: 'standard', tokens: 6000 }));
+  const newcomer = place(createWork({ customer: 'small' }), [a]);
+  assert.ok((newcomer?.enginePriority ?? 99) < (lone?.enginePriority ?? 0));
+});
+
 test('the baseline takes the engine with fewest requests', () => {
   const [a, b] = [createEngine('a'), createEngine('b')];
   a.addReservation(createReservation());
