--- a/packages/fakes/tests/promises.test.ts
+++ b/packages/fakes/tests/promises.test.ts
@@ -173,9 +173,11 @@
   await sleep(4000);
   assert.equal((await ask(running)).outcome, 'not-run');
   running.fleet.controls.forEach((member) => member.process.wake());
-  for (const url of running.fleet.entryUrls) {
-    await waitFor(async () => (await ask(running, { url })).kind === 'whole', `${url} serves`);
-  }
+  await Promise.all(
+    running.fleet.entryUrls.map((url) =>
+      waitFor(async () => (await ask(running, { url })).kind === 'whole', `${url} serves`),
+    ),
+  );
 });
 
 test('a graceful shutdown cuts no answer', async () => {
