Aim above the minimum share

Ruled out: the queue running empty (30% of capacity offered to each).

Change: a priority is due below 1.2 times its minimum share. The folder of works is named workload.

--- a/packages/scheduling/src/admission/Admission.ts
+++ b/packages/scheduling/src/admission/Admission.ts
@@ -1,6 +1,6 @@
 import type { Ledger } from '../ledger/index.js';
 import type { WorkQueue } from '../queue/index.js';
-import type { Work } from '../work/index.js';
+import type { Work } from '../workload/index.js';
 
 /** Why a work was refused before it ran. */
 export type RefusalReason =
--- a/packages/scheduling/src/admission/DeadlineAdmission.ts
+++ b/packages/scheduling/src/admission/DeadlineAdmission.ts
@@ -1,6 +1,6 @@
 import type { Engine } from '../ledger/index.js';
-import { getMemoryTokens } from '../work/index.js';
-import type { Work } from '../work/index.js';
+import { getMemoryTokens } from '../workload/index.js';
+import type { Work } from '../workload/index.js';
 import type { Admission, AdmissionRequest, Refusal } from './Admission.js';
 import { getDrainMs, getRunMs } from './estimates.js';
 
--- a/packages/scheduling/src/admission/estimates.ts
+++ b/packages/scheduling/src/admission/estimates.ts
@@ -1,5 +1,5 @@
 import type { Engine } from '../ledger/index.js';
-import type { Work } from '../work/index.js';
+import type { Work } from '../workload/index.js';
 
 /** Gets the time one engine spends on a work, its decode steps shared with a full batch. */
 export function getEngineMs(work: Work, engine: Engine): number {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,4 +5,4 @@
 export * from './placement/index.js';
 export * from './queue/index.js';
 export * from './scheduler/index.js';
-export * from './work/index.js';
+export * from './workload/index.js';
--- a/packages/scheduling/src/ledger/Reservation.ts
+++ b/packages/scheduling/src/ledger/Reservation.ts
@@ -1,4 +1,4 @@
-import type { WorkPriority } from '../work/index.js';
+import type { WorkPriority } from '../workload/index.js';
 
 /** Memory of one engine that a request holds. */
 export interface Reservation {
--- a/packages/scheduling/src/placement/ClassPlacement.ts
+++ b/packages/scheduling/src/placement/ClassPlacement.ts
@@ -1,6 +1,6 @@
 import type { Engine, Ledger } from '../ledger/index.js';
-import { getMemoryTokens, WORK_PRIORITIES } from '../work/index.js';
-import type { Work, WorkPriority } from '../work/index.js';
+import { getMemoryTokens, WORK_PRIORITIES } from '../workload/index.js';
+import type { Work, WorkPriority } from '../workload/index.js';
 import { ClearEngines } from './ClearEngines.js';
 import { findGang } from './findGang.js';
 import type { Place, Placement, PlacementRequest } from './Placement.js';
--- a/packages/scheduling/src/placement/ClearEngines.ts
+++ b/packages/scheduling/src/placement/ClearEngines.ts
@@ -1,6 +1,6 @@
 import type { Engine } from '../ledger/index.js';
-import { getCost } from '../work/index.js';
-import type { Work } from '../work/index.js';
+import { getCost } from '../workload/index.js';
+import type { Work } from '../workload/index.js';
 
 /** Time after which urgent demand counts half. */
 const HALF_LIFE_MS = 5000;
--- a/packages/scheduling/src/placement/LeastLoadedPlacement.ts
+++ b/packages/scheduling/src/placement/LeastLoadedPlacement.ts
@@ -1,5 +1,5 @@
 import type { Engine } from '../ledger/index.js';
-import { getMemoryTokens } from '../work/index.js';
+import { getMemoryTokens } from '../workload/index.js';
 import type { Place, Placement, PlacementRequest } from './Placement.js';
 import { findGang } from './findGang.js';
 
--- a/packages/scheduling/src/placement/Placement.ts
+++ b/packages/scheduling/src/placement/Placement.ts
@@ -1,5 +1,5 @@
 import type { Engine, Ledger } from '../ledger/index.js';
-import type { Work } from '../work/index.js';
+import type { Work } from '../workload/index.js';
 
 /** Memory of one engine that a placed work gets. */
 export interface PlacedShare {
--- a/packages/scheduling/src/queue/CustomerQueue.ts
+++ b/packages/scheduling/src/queue/CustomerQueue.ts
@@ -1,5 +1,5 @@
-import { getCost } from '../work/index.js';
-import type { Work } from '../work/index.js';
+import { getCost } from '../workload/index.js';
+import type { Work } from '../workload/index.js';
 
 interface Tagged {
   work: Work;
--- a/packages/scheduling/src/queue/FairQueue.ts
+++ b/packages/scheduling/src/queue/FairQueue.ts
@@ -1,5 +1,5 @@
-import { getCost, WORK_PRIORITIES } from '../work/index.js';
-import type { Work, WorkPriority } from '../work/index.js';
+import { getCost, WORK_PRIORITIES } from '../workload/index.js';
+import type { Work, WorkPriority } from '../workload/index.js';
 import { CustomerQueue } from './CustomerQueue.js';
 import { ServiceShares } from './ServiceShares.js';
 import type { Candidate, WorkQueue } from './WorkQueue.js';
@@ -7,6 +7,9 @@
 /** Minimum share of service of each priority. */
 export type MinimumShares = Record<WorkPriority, number>;
 
+/** Placed work that an engine holds back is made up for by aiming above the minimum share. */
+const SHARE_MARGIN = 1.2;
+
 /** Strict priorities with minimum shares, and fair among customers within a priority. */
 export class FairQueue implements WorkQueue {
   private readonly queues = new Map<WorkPriority, CustomerQueue>();
@@ -70,7 +73,7 @@
   private isShareDue(priority: WorkPriority): boolean {
     const queue = this.getQueue(priority);
     if (priority === WORK_PRIORITIES[0] || queue.size === 0) return false;
-    return this.shares.getShare(priority) < this.minimumShares()[priority];
+    return this.shares.getShare(priority) < this.minimumShares()[priority] * SHARE_MARGIN;
   }
 
   private getQueue(priority: WorkPriority): CustomerQueue {
--- a/packages/scheduling/src/queue/FifoQueue.ts
+++ b/packages/scheduling/src/queue/FifoQueue.ts
@@ -1,4 +1,4 @@
-import type { Work } from '../work/index.js';
+import type { Work } from '../workload/index.js';
 import type { Candidate, WorkQueue } from './WorkQueue.js';
 
 /** Baseline: first come, first served, whatever the priority or the customer. */
--- a/packages/scheduling/src/queue/ServiceShares.ts
+++ b/packages/scheduling/src/queue/ServiceShares.ts
@@ -1,5 +1,5 @@
-import { WORK_PRIORITIES } from '../work/index.js';
-import type { WorkPriority } from '../work/index.js';
+import { WORK_PRIORITIES } from '../workload/index.js';
+import type { WorkPriority } from '../workload/index.js';
 
 /** Time after which service counts half. */
 const HALF_LIFE_MS = 2000;
--- a/packages/scheduling/src/queue/WorkQueue.ts
+++ b/packages/scheduling/src/queue/WorkQueue.ts
@@ -1,4 +1,4 @@
-import type { Work, WorkPriority } from '../work/index.js';
+import type { Work, WorkPriority } from '../workload/index.js';
 
 /** Work that waits, in the order in which it should be placed. */
 export interface WorkQueue {
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -4,7 +4,7 @@
 import type { Engine, Ledger, Reservation } from '../ledger/index.js';
 import type { Place, Placement } from '../placement/index.js';
 import type { Candidate, WorkQueue } from '../queue/index.js';
-import type { Work } from '../work/index.js';
+import type { Work } from '../workload/index.js';
 import { findVictims } from './findVictims.js';
 
 /** A work that got its memory. */
