--- a/packages/consensus/tests/replica/Replica.test.ts
+++ b/packages/consensus/tests/replica/Replica.test.ts
@@ -73,6 +73,18 @@
     assert.equal((await cluster.getLeader()).name, leader.name);
   }));
 
+test('a member that hears nothing does not depose the leader that others hear', () =>
+  withThree(async (cluster) => {
+    const leader = await cluster.getLeader();
+    const { term } = leader.replica;
+    const deaf = [...cluster.nodes.values()].find((node) => node !== leader);
+    cluster.cut(leader.name, deaf?.name ?? '');
+    await sleep(1000);
+    await cluster.add('still here');
+    assert.equal((await cluster.getLeader()).name, leader.name);
+    assert.equal(leader.replica.term, term);
+  }));
+
 test('an entry of an isolated leader is overwritten', () =>
   withThree(async (cluster) => {
     const old = await cluster.getLeader();
