Count a grant's time from the sending of the call

Cause, found by reading: the time by which a granted prompt must be sent was counted from the arrival of the answer, so a process that was frozen with the answer in its buffers took it for a new one; only the lease stood behind it. Changes of owner used up the attempts that a failed engine needs.

Ruled out: a time stamp in the answer (two clocks).

Change: the time counts from the sending of the call plus the time in the owner's queue, which is never later than the grant. Failures, owner changes and attempts are counted apart.

Conclusion: one guard no longer depends on another.

--- a/packages/daemon/src/entry/clients/Generation.ts
+++ b/packages/daemon/src/entry/clients/Generation.ts
@@ -52,7 +52,8 @@
 type Ending = 'finished' | 'paused';
 
 const SHARD_LIMIT = 2;
-const ATTEMPT_LIMIT = 6;
+const FAILURE_LIMIT = 6;
+const OWNER_CHANGE_LIMIT = 20;
 const OWNER_RETRY_MS = 50;
 const NO_ENGINE_RETRY_MS = 1000;
 /** An end later than this after the deadline is a fault of the process. */
@@ -62,8 +63,13 @@
 export class Generation {
   private producedTokens = 0;
 
+  /** Number of reservations asked for; makes the id of each attempt. */
   private attempts = 0;
 
+  private failures = 0;
+
+  private ownerChanges = 0;
+
   /** True once an engine may have begun to run the prompt. */
   private hasRun = false;
 
@@ -123,9 +129,11 @@
       signal.throwIfAborted();
       const shard = this.chooseShard();
       const owner = this.context.directory.getOwner(shard);
+      const sentAt = performance.now();
       const answer = await owner?.reserve(this.getCall(shard), signal).catch(() => undefined);
-      const startBy = performance.now() + (answer?.startWithinMs ?? 0);
-      if (owner && answer?.granted) return { answer, shard, owner, startBy };
+      if (owner && answer?.granted) {
+        return { answer, shard, owner, startBy: getStartBy(sentAt, answer) };
+      }
       signal.throwIfAborted();
       await this.onRefusal(shard, answer);
     }
@@ -153,7 +161,8 @@
     const reason = answer?.reason ?? 'owner-changed';
     if (reason === 'owner-changed') {
       this.attempts += 1;
-      if (this.attempts > ATTEMPT_LIMIT * 4) throw toRefusal(reason, undefined);
+      this.ownerChanges += 1;
+      if (this.ownerChanges > OWNER_CHANGE_LIMIT) throw toRefusal(reason, undefined);
       await sleep(OWNER_RETRY_MS);
       return;
     }
@@ -268,7 +277,8 @@
     if (fault.outcome === 'unknown') this.hasRun = true;
     if (upstream !== undefined) this.avoided.add(upstream);
     this.needsFreshConnection = true;
-    if (this.attempts >= ATTEMPT_LIMIT || !budget.takeRetry()) throw fault;
+    this.failures += 1;
+    if (this.failures >= FAILURE_LIMIT || !budget.takeRetry()) throw fault;
     measures.onRetry(fault.outcome);
   }
 
@@ -323,6 +333,15 @@
   }
 }
 
+/**
+ * Gets the time by which a granted prompt must be sent.
+ * @remarks It counts from the sending of the call and the time in the owner's queue, which is never
+ * later than the grant itself: a process that was frozen takes no old answer for a new one.
+ */
+function getStartBy(sentAt: number, { queuedMs, startWithinMs }: ReserveAnswer): number {
+  return sentAt + (queuedMs ?? 0) + (startWithinMs ?? 0);
+}
+
 function toRefusal(reason: string, answer: ReserveAnswer | undefined): ApiFault {
   const code = reason.replaceAll('-', '_');
   const message = `the request cannot be served in time: ${reason}`;
