Prove with late announcements, stray frames and leaving services

Cause: duplicated and delayed announcements and answers, and departures of services, were tried by unit tests only.

Change: prove posts announcements late and twice, its engines send late and foreign frames (1 in 100), services leave as engines do.

--- a/packages/fakes/src/engine/FakeEngine.ts
+++ b/packages/fakes/src/engine/FakeEngine.ts
@@ -36,6 +36,8 @@
 }
 
 const CACHE_EVENT_MS = 200;
+/** Share of stray frames that belong to another request. */
+const FOREIGN_SHARE = 0.1;
 /** Time between two comments in an answer, by which a waiting engine shows that it is alive. */
 const COMMENT_MS = 1000;
 
@@ -49,6 +51,19 @@
   return createHash('sha256').update(text).digest('hex').slice(0, 8);
 }
 
+/** Writes a frame that is late, or now and then one of another request. */
+function writeStray(response: ServerResponse, id: string, offset: number): void {
+  const isForeign = offset === 0 || Math.random() < FOREIGN_SHARE;
+  const stray: Frame = {
+    id: isForeign ? `${id}-other` : id,
+    offset: Math.max(0, offset - 1),
+    text: 'stray ',
+    tokens: 1,
+    finish: null,
+  };
+  response.write(`data: ${JSON.stringify(stray)}\n\n`);
+}
+
 /** A small stand-in for a model engine. */
 export class FakeEngine {
   private readonly server: Server;
@@ -146,6 +161,7 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/fake/stats') sendJson(response, 200, this.getStats());
+    else if (request.url === '/fake/announcement') sendJson(response, 200, this.announcer.next());
     else if (request.url === '/fake/leave') {
       await this.leave();
       sendJson(response, 200, {});
@@ -256,6 +272,7 @@
     const produced = Number(headers[EngineHeader.offset]);
     const mark = getPromptMark(text);
     const send = (frame: Omit<Frame, 'id'>): void => {
+      if (Math.random() < this.settings.strayRate) writeStray(response, id, frame.offset);
       response.write(`data: ${JSON.stringify({ id, ...frame })}\n\n`);
       if (frame.finish) response.end('data: [DONE]\n\n');
     };
--- a/packages/fakes/src/engine/FakeEngineSettings.ts
+++ b/packages/fakes/src/engine/FakeEngineSettings.ts
@@ -18,6 +18,7 @@
   checksFence: z.boolean().default(true),
   reportLagMs: z.number().default(150),
   gapRate: z.number().default(0).describe('Share of cache events that are lost'),
+  strayRate: z.number().default(0).describe('Share of frames preceded by a late or foreign one'),
   loadMs: z.number().default(100),
   announceMs: z.number().default(400),
   runFile: z.string().optional().describe('File in which each start is noted'),
--- a/packages/fakes/src/harness/Announcer.ts
+++ b/packages/fakes/src/harness/Announcer.ts
@@ -65,8 +65,14 @@
     return response.ok;
   }
 
+  /** Gets the next announcement as it would be posted. */
+  next(): Record<string, unknown> {
+    const { id, dataCentre } = this.settings;
+    return { id, dataCentre, ...this.getAnnouncement(), sequence: this.nextSequence() };
+  }
+
   private async announce(): Promise<void> {
-    const body = { ...this.getAnnouncement(), sequence: this.nextSequence() };
+    const body = this.next();
     const isTaken = await this.post(UpstreamPath.announce, body).catch(() => false);
     if (!isTaken)
       await this.post(UpstreamPath.announce, { ...body, sequence: this.nextSequence() });
--- a/packages/fakes/src/prove/Bookings.ts
+++ b/packages/fakes/src/prove/Bookings.ts
@@ -2,6 +2,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Checks } from './Checks.js';
 
+/** Time after which a leaving upstream may get nothing new, in milliseconds. */
+export const DEPARTURE_LIMIT_MS = 3000;
+
 /** Bookings that may not run twice, resent through other entry processes after lost answers. */
 export class Bookings {
   sent = 0;
@@ -27,9 +30,11 @@
   /** Checks what the services noted. */
   async check(files: string[], checks: Checks): Promise<void> {
     const runs = new Map<string, number>();
-    for (const { name, attempt } of await readRuns(files)) {
+    for (const { name, attempt, sinceLeaveMs } of await readRuns(files)) {
       runs.set(name, (runs.get(name) ?? 0) + 1);
       checks.check('not-run-call-did-not-run', !this.notRun.has(attempt), () => attempt);
+      const isInTime = sinceLeaveMs <= DEPARTURE_LIMIT_MS;
+      checks.check('nothing-sent-after-leaving', isInTime, () => `${name}: ${sinceLeaveMs} ms`);
     }
     runs.forEach((count, name) => {
       checks.check('booking-ran-at-most-once', count === 1, () => `${name} ran ${count} times`);
--- a/packages/fakes/src/prove/Faults.ts
+++ b/packages/fakes/src/prove/Faults.ts
@@ -1,5 +1,7 @@
 import { rm } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { UpstreamPath } from '@azurecart/protocol';
+import { UPSTREAM_SECRET } from '../harness/index.js';
 import type { ChildProcess, Fleet, FleetMember } from '../harness/index.js';
 import type { Random } from '../load/index.js';
 import type { Releases } from './Releases.js';
@@ -23,6 +25,8 @@
 const FREEZE_MS: [number, number] = [3000, 6000];
 const CUT_MS: [number, number] = [1000, 5000];
 const DOWN_MS: [number, number] = [200, 3000];
+const DELAY_MS: [number, number] = [500, 8000];
+const POST_TIMEOUT_MS = 5000;
 const BURST = 50;
 
 /** Makes faults drawn from the seed, several at the same time. */
@@ -78,7 +82,9 @@
       { name: 'silence-open', weight: 2, make: () => this.cut((relay) => relay.silenceOpen()) },
       { name: 'race-operators', weight: 3, make: () => this.options.releases.race() },
       { name: 'release-burst', weight: 0.5, make: () => this.options.releases.burst(BURST) },
-      { name: 'engine-leaves', weight: 1, make: () => this.leave() },
+      { name: 'engine-leaves', weight: 1, make: () => this.leave(engines) },
+      { name: 'service-leaves', weight: 1, make: () => this.leave(services) },
+      { name: 'delay-announcement', weight: 3, make: () => this.delayAnnouncement() },
     ];
   }
 
@@ -168,8 +174,26 @@
     this.busy.delete(member.relay);
   }
 
-  private async leave(): Promise<void> {
-    await this.on(this.options.engines, async ({ child, url }) => {
+  /** Posts an engine's announcement late and twice, whatever became of the engine meanwhile. */
+  private async delayAnnouncement(): Promise<void> {
+    const { random, engines, fleet } = this.options;
+    const engine = random.pick(engines);
+    const response = await fetch(`${engine.url}/fake/announcement`).catch(() => undefined);
+    const body = await response?.text().catch(() => undefined);
+    if (body === undefined) return;
+    await this.wait(DELAY_MS);
+    for (const url of [random.pick(fleet.entryUrls), random.pick(fleet.entryUrls)]) {
+      await fetch(url + UpstreamPath.announce, {
+        method: 'POST',
+        body,
+        headers: { authorization: `Bearer ${UPSTREAM_SECRET}` },
+        signal: AbortSignal.timeout(POST_TIMEOUT_MS),
+      }).catch(() => undefined);
+    }
+  }
+
+  private async leave(upstreams: { child: ChildProcess; url: string }[]): Promise<void> {
+    await this.on(upstreams, async ({ child, url }) => {
       if (this.busy.has(child)) return;
       this.busy.add(child);
       await fetch(`${url}/fake/leave`).catch(() => undefined);
--- a/packages/fakes/src/prove/Prompts.ts
+++ b/packages/fakes/src/prove/Prompts.ts
@@ -1,12 +1,11 @@
 import { PromptClient } from '../load/index.js';
 import type { PromptResult, Random } from '../load/index.js';
-import { readRuns } from './Bookings.js';
+import { DEPARTURE_LIMIT_MS, readRuns } from './Bookings.js';
 import type { Checks } from './Checks.js';
 
 const DEADLINE_MS = 20_000;
 /** Time for an answer in time to reach and be read by a busy client. */
 const READ_GRACE_MS = 1000;
-const DEPARTURE_LIMIT_MS = 3000;
 /** Ends of a connection without the system's word. */
 const CUT_CODES = ['cut', 'ECONNRESET', 'EPIPE'];
 const KEYS = ['key-dispatch', 'key-planning', 'key-engineering'];
--- a/packages/fakes/src/prove/main.ts
+++ b/packages/fakes/src/prove/main.ts
@@ -116,7 +116,7 @@
     return { child, url: `http://127.0.0.1:${port}` };
   };
   const engines = engineRuns.map((file, index) => {
-    const changes = { gapRate: 0.2, checksFence: index % 2 === 0 };
+    const changes = { gapRate: 0.2, strayRate: 0.01, checksFence: index % 2 === 0 };
     return start('engine', 'fitting-assist', file, changes);
   });
   const services = serviceRuns.map((file) =>
