--- a/packages/daemon/src/control/ControlServices.ts
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -54,8 +54,8 @@
     const { state, leases } = this.options;
     return {
       openSession: async (request) => {
-        const { dataCentre, address } = request;
-        const [vm, id] = splitSession(request.vm);
+        const { session: id, vm, dataCentre, address } = request;
+        if (id === '' || vm === '') throw new ConnectError('no session id', Code.InvalidArgument);
         const record = await this.propose<SessionRecord>({
           kind: 'open-session',
           id,
@@ -195,13 +195,6 @@
   return replica.role === 'leader' ? undefined : replica.getLeaderAddress();
 }
 
-/** Splits `vm#session`, so that a repeated opening finds its first one. */
-function splitSession(text: string): [string, string] {
-  const at = text.lastIndexOf('#');
-  if (at <= 0) throw new ConnectError('vm must be vm#session', Code.InvalidArgument);
-  return [text.slice(0, at), text];
-}
-
 function parseOrRefuse(text: string): ReturnType<typeof parseRelease> {
   try {
     return parseRelease(text);
--- a/packages/daemon/src/entry/view/ViewFollower.ts
+++ b/packages/daemon/src/entry/view/ViewFollower.ts
@@ -79,8 +79,7 @@
 
   private async openSession(): Promise<void> {
     const { control, vm, dataCentre, address, timeline } = this.options;
-    const id = `${vm}#${randomUUID()}`;
-    const request = { vm: id, dataCentre, address };
+    const request = { session: `${vm}#${randomUUID()}`, vm, dataCentre, address };
     const answer = await control.call((client, options) => client.openSession(request, options), {
       timeoutMs: OPEN_TIMEOUT_MS,
     });
--- a/packages/fakes/src/bench/scenarios/control.ts
+++ b/packages/fakes/src/bench/scenarios/control.ts
@@ -84,19 +84,20 @@
 async function openFollowers(fleet: Fleet, count: number) {
   let isStopped = false;
   const follow = async (index: number): Promise<void> => {
-    const vm = `follower-${index}#${count}`;
-    const opening = { vm, dataCentre: 'none', address: '127.0.0.1:1' };
+    const vm = `follower-${index}`;
+    const session = `${vm}#${count}`;
+    const opening = { session, vm, dataCentre: 'none', address: '127.0.0.1:1' };
     await fleet.callControl((client, options) => client.openSession(opening, options), CALL_MS);
     let [knownVersion, appliedRelease] = [0n, 0n];
     while (!isStopped) {
-      const request = { session: vm, knownVersion, appliedRelease };
+      const request = { session, knownVersion, appliedRelease };
       const answer = await fleet
         .callControl((client, options) => client.renew(request, options), CALL_MS)
         .catch(() => undefined);
       knownVersion = answer?.view?.version ?? knownVersion;
       appliedRelease = answer?.view?.releaseNumber ?? appliedRelease;
     }
-    const closing = { session: vm };
+    const closing = { session };
     await fleet.callControl((client, options) => client.closeSession(closing, options), CALL_MS);
   };
   const all = Promise.allSettled(Array.from({ length: count }, (_, index) => follow(index)));
