Give the measurements a package of their own

Cause: fakes held stand-ins, load, prove and measurements; the measurements are not stand-ins and nothing imports them.

Change: packages/bench imports fakes; the probes of running fleets stay beside the harness, which the tests use as well.

Conclusion: behaviour unchanged.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,13 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
 
-const product = ['@azurecart/protocol', '@azurecart/daemon', '@azurecart/cli', '@azurecart/fakes'];
+const product = [
+  '@azurecart/protocol',
+  '@azurecart/daemon',
+  '@azurecart/cli',
+  '@azurecart/fakes',
+  '@azurecart/bench',
+];
 
 /** Forbids imports, so that the layers keep their direction. */
 const forbid = (files, group, message) => ({
--- a/packages/fakes/src/bench/BenchFleet.ts
+++ b/packages/bench/src/BenchFleet.ts
@@ -1,6 +1,6 @@
 import { join } from 'node:path';
-import { Fleet, getFreePorts, getSampleRelease, hashKey } from '../harness/index.js';
-import type { FleetOptions } from '../harness/index.js';
+import { Fleet, getFreePorts, getSampleRelease, hashKey } from '@azurecart/fakes';
+import type { FleetOptions } from '@azurecart/fakes';
 
 /** Scheduling policies that benches compare. */
 export type Policy = 'baseline' | 'fair';
--- a/packages/fakes/src/bench/scenarios/control.ts
+++ b/packages/bench/src/scenarios/control.ts
@@ -1,11 +1,10 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { UpstreamPath } from '@azurecart/protocol';
-import { Fleet, getSampleRelease, hashKey, UPSTREAM_SECRET } from '../../harness/index.js';
+import { Fleet, getSampleRelease, hashKey, UPSTREAM_SECRET, getMetric } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { fitSlope } from '../fitSlope.js';
 import type { Point } from '../fitSlope.js';
-import { getMetric } from '../fleetProbes.js';
 
 const FOLLOWER_SIZES = [20, 60, 120];
 const CUSTOMER_SIZES = [100, 1000, 2500];
--- a/packages/fakes/src/bench/scenarios/fair.ts
+++ b/packages/bench/src/scenarios/fair.ts
@@ -1,8 +1,7 @@
-import { drawArrivals, Random, runLoad } from '../../load/index.js';
-import type { Stream } from '../../load/index.js';
+import { drawArrivals, Random, runLoad, getSampleRelease } from '@azurecart/fakes';
+import type { Stream } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { createCustomers, KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
-import { getSampleRelease } from '../../harness/index.js';
 
 const ENGINES = 4;
 const SMALL_CUSTOMERS = 9;
--- a/packages/fakes/src/bench/scenarios/floor.ts
+++ b/packages/bench/src/scenarios/floor.ts
@@ -1,5 +1,5 @@
-import { drawArrivals, Random, runLoad } from '../../load/index.js';
-import type { GroupResult, Stream } from '../../load/index.js';
+import { drawArrivals, Random, runLoad } from '@azurecart/fakes';
+import type { GroupResult, Stream } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
 
--- a/packages/fakes/src/bench/scenarios/longest.ts
+++ b/packages/bench/src/scenarios/longest.ts
@@ -1,8 +1,7 @@
-import { drawArrivals, Random, runLoad } from '../../load/index.js';
-import type { Stream } from '../../load/index.js';
+import { drawArrivals, Random, runLoad, getHighest, getReservedAfterQuiet, getSum } from '@azurecart/fakes';
+import type { Stream } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
-import { getHighest, getReservedAfterQuiet, getSum } from '../fleetProbes.js';
 
 const ENGINES = 6;
 const LONGEST = 1_000_000;
--- a/packages/fakes/src/bench/scenarios/overhead.ts
+++ b/packages/bench/src/scenarios/overhead.ts
@@ -1,7 +1,6 @@
-import { drawArrivals, Random, runLoad } from '../../load/index.js';
+import { drawArrivals, Random, runLoad, getMetric } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { KEYS, withBenchFleet } from '../BenchFleet.js';
-import { getMetric } from '../fleetProbes.js';
 
 const PER_SECOND = 150;
 const PREFILL_TOKENS_PER_SECOND = 10_000_000;
--- a/packages/fakes/src/bench/scenarios/quorum.ts
+++ b/packages/bench/src/scenarios/quorum.ts
@@ -1,5 +1,5 @@
 import { build } from 'hdr-histogram-js';
-import { Random } from '../../load/index.js';
+import { Random } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 
 const ROUNDS = 20_000;
--- a/packages/fakes/src/bench/scenarios/ranks.ts
+++ b/packages/bench/src/scenarios/ranks.ts
@@ -1,8 +1,7 @@
-import { drawArrivals, Random, runLoad } from '../../load/index.js';
-import type { Stream } from '../../load/index.js';
+import { drawArrivals, Random, runLoad, getHighest, getSum } from '@azurecart/fakes';
+import type { Stream } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
-import { getHighest, getSum } from '../fleetProbes.js';
 
 const ENGINES = 4;
 const URGENT_LOAD = 0.1;
--- a/packages/fakes/src/prove/main.ts
+++ b/packages/fakes/src/prove/main.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { cac } from 'cac';
-import { getMetric } from '../bench/fleetProbes.js';
+import { getMetric } from '../harness/fleetProbes.js';
 import type { FakeEngineStats } from '../engine/FakeEngine.js';
 import { Fleet, getFreePorts, getSampleRelease } from '../harness/index.js';
 import { Random } from '../load/index.js';
--- a/packages/fakes/tests/memory.test.ts
+++ b/packages/fakes/tests/memory.test.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises';
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { getReservedAfterQuiet } from '../src/bench/fleetProbes.js';
+import { getReservedAfterQuiet } from '../src/harness/fleetProbes.js';
 import type { FakeEngineStats } from '../src/engine/FakeEngine.js';
 import { ask, getStats, startFleet, waitFor } from './startFleet.js';
 import type { TestFleet } from './startFleet.js';
--- a/packages/fakes/tests/promises.test.ts
+++ b/packages/fakes/tests/promises.test.ts
@@ -2,7 +2,7 @@
 import { rm } from 'node:fs/promises';
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { getHighest, getReservedAfterQuiet, getSum } from '../src/bench/fleetProbes.js';
+import { getHighest, getReservedAfterQuiet, getSum } from '../src/harness/fleetProbes.js';
 import type { FakeEngineStats } from '../src/engine/FakeEngine.js';
 import { getSampleRelease } from '../src/harness/index.js';
 import type { FleetMember } from '../src/harness/index.js';
