--- a/packages/bench/src/scenarios/longest.ts
+++ b/packages/bench/src/scenarios/longest.ts
@@ -1,4 +1,11 @@
-import { drawArrivals, Random, runLoad, getHighest, getReservedAfterQuiet, getSum } from '@azurecart/fakes';
+import {
+  drawArrivals,
+  Random,
+  runLoad,
+  getHighest,
+  getReservedAfterQuiet,
+  getSum,
+} from '@azurecart/fakes';
 import type { Stream } from '@azurecart/fakes';
 import type { Bench, BenchOptions } from '../Bench.js';
 import { KEYS, PREFILL_TOKENS_PER_SECOND, withBenchFleet } from '../BenchFleet.js';
--- a/packages/fakes/src/harness/fleetProbes.ts
+++ b/packages/fakes/src/harness/fleetProbes.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Fleet } from "./index.js";
+import type { Fleet } from './index.js';
 
 /** Gets the value of a metric of an entry process; labels are summed up. */
 export async function getMetric(url: string, name: string): Promise<number> {
