Own a shard again that comes back under a new fencing number

The next view assigned the shard to its new session; the list still held it, so it was never started and its engines got nothing until the owner changed.

Ruled out: the log and the assignment (trace: shard assigned once, fence 3268).

Change: what is being handed over is known by its fencing number; a process that is not in the view hands nothing over.

--- a/packages/daemon/src/entry/owner/Owners.ts
+++ b/packages/daemon/src/entry/owner/Owners.ts
@@ -38,8 +38,8 @@
 export class Owners implements OwnerCalls {
   private readonly owned = new Map<string, ShardOwner>();
 
-  /** Shards being handed to a process nearer to them. */
-  private readonly leaving = new Set<string>();
+  /** Fencing numbers of the assignments that are being handed to other processes. */
+  private readonly leaving = new Map<string, number>();
 
   private isYielding = false;
 
@@ -52,7 +52,7 @@
     }
     for (const { shard, session, fence } of view.owners.values()) {
       const isOwn = session === this.options.getSession() && !this.isYielding;
-      if (!isOwn) this.leaving.delete(shard);
+      if (this.leaving.get(shard) !== fence) this.leaving.delete(shard);
       if (isOwn && !this.owned.has(shard) && !this.leaving.has(shard))
         this.startShard(shard, fence);
     }
@@ -104,9 +104,10 @@
     const dataCentre = shard.slice(0, shard.lastIndexOf('/'));
     const { sessions } = this.options.getView();
     const own = sessions.get(this.options.getSession());
+    if (!own) return false;
     const others = [...sessions.values()].filter((each) => each !== own && !each.isDraining);
-    if (own?.isDraining) return others.length > 0;
-    if (dataCentre === own?.dataCentre) return false;
+    if (own.isDraining) return others.length > 0;
+    if (dataCentre === own.dataCentre) return false;
     return others.some((session) => session.dataCentre === dataCentre);
   }
 
@@ -115,7 +116,7 @@
     const { control, getSession } = this.options;
     const request = { session: getSession(), shards };
     for (const shard of shards) {
-      this.leaving.add(shard);
+      this.leaving.set(shard, this.owned.get(shard)?.fence ?? 0);
       this.stopShard(shard);
     }
     await control
