Say once how a command reaches control, and who removes placed work

Cause, found by reading the whole change: four commands opened and closed the way to control by the same lines, and three asked for the status by the same call; a placed work was removed by the fair queue and again by the scheduler, because the baseline queue did not remove it.

Ruled out: one pattern for RpcPeer and RemoteOwner, which give a connection up on different errors.

Change: withControl and getStatus; onPlaced removes the work in both queues, and the scheduler no longer does.

--- a/packages/cli/src/commands/changeMembers.ts
+++ b/packages/cli/src/commands/changeMembers.ts
@@ -1,5 +1,5 @@
-import { CALL_TIMEOUT_MS, openControl } from '../control/openControl.js';
-import type { ControlOptions } from '../control/openControl.js';
+import { CALL_TIMEOUT_MS, withControl } from '../control/withControl.js';
+import type { ControlOptions } from '../control/withControl.js';
 import { print } from '../output/print.js';
 import type { PrintOptions } from '../output/print.js';
 
@@ -9,15 +9,12 @@
   options: ControlOptions & PrintOptions & { undo?: boolean },
 ): Promise<void> {
   const draining = !options.undo;
-  const { client, close } = await openControl(options);
-  try {
+  await withControl(options, async (client) => {
     await client.call((control, call) => control.drain({ vm, draining }, call), {
       timeoutMs: CALL_TIMEOUT_MS,
     });
     print({ vm, draining }, [`${vm} is ${draining ? 'draining' : 'in service'}`], options);
-  } finally {
-    close();
-  }
+  });
 }
 
 /** Removes a control member that will not come back. */
@@ -25,13 +22,10 @@
   id: string,
   options: ControlOptions & PrintOptions,
 ): Promise<void> {
-  const { client, close } = await openControl(options);
-  try {
+  await withControl(options, async (client) => {
     await client.call((control, call) => control.removeMember({ id }, call), {
       timeoutMs: CALL_TIMEOUT_MS,
     });
     print({ removed: id }, [`member ${id} is removed`], options);
-  } finally {
-    close();
-  }
+  });
 }
--- a/packages/cli/src/commands/diffRelease.ts
+++ b/packages/cli/src/commands/diffRelease.ts
@@ -1,6 +1,6 @@
 import diff from 'microdiff';
-import { CALL_TIMEOUT_MS, openControl } from '../control/openControl.js';
-import type { ControlOptions } from '../control/openControl.js';
+import { getStatus, withControl } from '../control/withControl.js';
+import type { ControlOptions } from '../control/withControl.js';
 import { print } from '../output/print.js';
 import type { PrintOptions } from '../output/print.js';
 import { readRelease } from './readRelease.js';
@@ -11,11 +11,8 @@
   options: ControlOptions & PrintOptions,
 ): Promise<void> {
   const release = await readRelease(file);
-  const { client, close } = await openControl(options);
-  try {
-    const status = await client.call((control, call) => control.status({}, call), {
-      timeoutMs: CALL_TIMEOUT_MS,
-    });
+  await withControl(options, async (client) => {
+    const status = await getStatus(client);
     const current = JSON.parse(status.releaseText || '{}') as Record<string, unknown>;
     const changes = diff(current, release);
     const lines = changes.map((change) => {
@@ -24,7 +21,5 @@
       return `${change.path.join('.')}: ${before} becomes ${after}`;
     });
     print(changes, lines.length > 0 ? lines : ['no change'], options);
-  } finally {
-    close();
-  }
+  });
 }
--- a/packages/cli/src/commands/showStatus.ts
+++ b/packages/cli/src/commands/showStatus.ts
@@ -1,21 +1,16 @@
 import type { StatusResponse } from '@azurecart/protocol';
-import { CALL_TIMEOUT_MS, openControl } from '../control/openControl.js';
-import type { ControlOptions } from '../control/openControl.js';
+import { getStatus, withControl } from '../control/withControl.js';
+import type { ControlOptions } from '../control/withControl.js';
 import { formatTable, print } from '../output/print.js';
 import type { PrintOptions } from '../output/print.js';
 
 /** Shows members, sessions, shard owners and the release in force. */
 export async function showStatus(options: ControlOptions & PrintOptions): Promise<void> {
-  const { client, close } = await openControl(options);
-  try {
-    const status = await client.call((control, call) => control.status({}, call), {
-      timeoutMs: CALL_TIMEOUT_MS,
-    });
+  await withControl(options, async (client) => {
+    const status = await getStatus(client);
     const { $typeName, releaseText, ...shown } = status;
     print(shown, formatStatus(status), options);
-  } finally {
-    close();
-  }
+  });
 }
 
 function formatStatus(status: StatusResponse): string[] {
--- a/packages/cli/src/commands/submitRelease.ts
+++ b/packages/cli/src/commands/submitRelease.ts
@@ -2,8 +2,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ControlClient } from '@azurecart/daemon';
 import { CommandFault, ExitCode } from '../CommandFault.js';
-import { CALL_TIMEOUT_MS, openControl } from '../control/openControl.js';
-import type { ControlOptions } from '../control/openControl.js';
+import { CALL_TIMEOUT_MS, getStatus, withControl } from '../control/withControl.js';
+import type { ControlOptions } from '../control/withControl.js';
 import { print } from '../output/print.js';
 import type { PrintOptions } from '../output/print.js';
 import { readRelease } from './readRelease.js';
@@ -32,8 +32,7 @@
     release: JSON.stringify(release),
     operator: options.operator ?? userInfo().username,
   };
-  const { client, close } = await openControl(options);
-  try {
+  await withControl(options, async (client) => {
     const receipt = await client.call((control, call) => control.submit(request, call), {
       timeoutMs: CALL_TIMEOUT_MS,
     });
@@ -43,17 +42,13 @@
     const state = options.wait === 'in-force' ? 'in force everywhere' : 'accepted';
     const line = `release ${number} by ${receipt.operator} is ${state}, digest ${receipt.digest}`;
     print({ number, state, operator: receipt.operator, digest: receipt.digest }, [line], options);
-  } finally {
-    close();
-  }
+  });
 }
 
 async function waitInForce(client: ControlClient, number: number, seconds: number): Promise<void> {
   const endAt = performance.now() + seconds * 1000;
   while (performance.now() < endAt) {
-    const { release } = await client.call((control, call) => control.status({}, call), {
-      timeoutMs: CALL_TIMEOUT_MS,
-    });
+    const { release } = await getStatus(client);
     const isLater = Number(release?.number) > number;
     if (isLater || (Number(release?.number) === number && release?.inForceEverywhere)) return;
     await sleep(POLL_MS);
--- a/packages/scheduling/src/queue/FifoQueue.ts
+++ b/packages/scheduling/src/queue/FifoQueue.ts
@@ -30,8 +30,9 @@
     return [...this.works.values()];
   }
 
-  // eslint-disable-next-line class-methods-use-this -- The baseline keeps no record of service.
-  onPlaced(): void {}
+  onPlaced(work: Work): void {
+    this.works.delete(work.id);
+  }
 
   // eslint-disable-next-line class-methods-use-this -- The baseline knows no priorities.
   getShareAbove(): number {
--- a/packages/scheduling/src/queue/WorkQueue.ts
+++ b/packages/scheduling/src/queue/WorkQueue.ts
@@ -4,7 +4,7 @@
 export interface WorkQueue {
   readonly size: number;
   add(work: Work): void;
-  /** Removes a work that was placed, refused or cancelled; gets false when it is not queued. */
+  /** Removes a work that was refused or cancelled; gets false when it is not queued. */
   remove(id: string): boolean;
   /** Gets the waiting works that may be placed next, the best one first. */
   getCandidates(limit: number): Candidate[];
@@ -12,7 +12,7 @@
   getAhead(work: Work): Work[];
   /** Gets all waiting works. */
   getAll(): Work[];
-  /** Tells that a work was placed. */
+  /** Removes a work that was placed, and counts its service. */
   onPlaced(work: Work, now: number): void;
   /** Gets the share of recent service that went to priorities above the given one. */
   getShareAbove(priority: WorkPriority, now: number): number;
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -105,7 +105,6 @@
     const place = placement.findPlace({ work, ledger, now: now(), isShareDue });
     if (!place) return undefined;
     queue.onPlaced(work, now());
-    queue.remove(work.id);
     this.reserve(work, place, isShareDue);
     return { work, place, queuedMs: now() - work.arrivedAt };
   }
