--- a/packages/consensus/src/replica/Leadership.ts
+++ b/packages/consensus/src/replica/Leadership.ts
@@ -33,6 +33,8 @@
 
   private readonly work = new Signal();
 
+  private readonly progressed = new Signal();
+
   private readonly joining = new Map<string, Member>();
 
   constructor(private readonly options: LeadershipOptions) {
@@ -63,6 +65,21 @@
     return state.options.now() - this.getQuorumContact() < electionTimeoutMs * leaseShare;
   }
 
+  /**
+   * Confirms by messages sent after the call that no other leader has been elected before it.
+   * @returns False when the leadership ends or the quorum does not answer in time.
+   */
+  async confirmQuorum(timeoutMs: number): Promise<boolean> {
+    const { state } = this.options;
+    const since = state.options.now();
+    this.replicators.forEach((replicator) => replicator.notify());
+    while (this.isCurrent() && state.options.now() - since <= timeoutMs) {
+      if (state.appliedIndex >= this.firstIndex && this.getQuorumContact() >= since) return true;
+      await this.progressed.wait(state.options.timings.heartbeatMs);
+    }
+    return false;
+  }
+
   /** Appends an entry and gets the result of its application. */
   propose(kind: 'command' | 'noop' | 'members', payload: Uint8Array): Promise<unknown> {
     const result = this.proposals.add(kind, payload);
@@ -164,6 +181,7 @@
 
   private advanceCommit(): void {
     const { state } = this.options;
+    this.progressed.notify();
     if (!this.isCurrent()) return;
     const matches = state.members.voters.map((member) => this.getMatchIndex(member.id));
     const index = getMajorityValue(matches);
@@ -197,10 +215,31 @@
       if (!members.hasMember(joiner.id)) return [...members.current, joiner];
     }
     const learner = members.current.find((member) => !member.voter && this.isCaughtUp(member));
-    return learner ? this.getPromotion(learner) : undefined;
+    return learner ? this.getPromotion(learner) : this.getWithoutDepartedLearner();
+  }
+
+  private getWithoutDepartedLearner(): Member[] | undefined {
+    const { members, timings } = this.getMembership();
+    const departed = members.current.find(
+      (member) => !member.voter && this.getSilence(member) > timings.memberSilenceMs,
+    );
+    return departed && members.current.filter((member) => member.id !== departed.id);
   }
 
-  private getPromotion(learner: Member): Member[] {
+  private getMembership() {
+    const { members, options } = this.options.state;
+    return { members, timings: options.timings };
+  }
+
+  /** Milliseconds since a member last answered, counted from the start of this leadership. */
+  private getSilence(member: Member): number {
+    const { state } = this.options;
+    if (member.id === state.options.id) return 0;
+    const contactAt = this.replicators.get(member.id)?.contactAt ?? -Infinity;
+    return state.options.now() - Math.max(contactAt, this.startedAt);
+  }
+
+  private getPromotion(learner: Member): Member[] | undefined {
     const { members, options } = this.options.state;
     const replaced = members.current.find(
       (member) => member.name === learner.name && member.id !== learner.id,
@@ -208,11 +247,21 @@
     if (replaced && replaced.id !== options.id) {
       return members.current.filter((member) => member.id !== replaced.id);
     }
+    if (members.voters.length >= options.targetVoters) return this.getWithoutSilentVoter();
     return members.current.map((member) =>
       member.id === learner.id ? { ...member, voter: true } : member,
     );
   }
 
+  /** A silent voter gives its place to a learner that has caught up. */
+  private getWithoutSilentVoter(): Member[] | undefined {
+    const { members, timings } = this.getMembership();
+    const silent = members.voters
+      .filter((member) => this.getSilence(member) > timings.memberSilenceMs)
+      .sort((a, b) => this.getSilence(b) - this.getSilence(a))[0];
+    return silent && members.current.filter((member) => member.id !== silent.id);
+  }
+
   private isCaughtUp(member: Member): boolean {
     const { state } = this.options;
     const replicator = this.replicators.get(member.id);
--- a/packages/consensus/src/replica/Replica.ts
+++ b/packages/consensus/src/replica/Replica.ts
@@ -33,6 +33,8 @@
   timings?: Partial<Timings>;
   /** Number of applied entries after which a snapshot is taken. */
   snapshotEvery?: number;
+  /** Voters beyond which newcomers stay learners until a voter falls silent; unlimited if absent. */
+  targetVoters?: number;
   /** Monotonic clock in milliseconds; must go on while the process is frozen. */
   now?: () => number;
   random?: () => number;
@@ -61,6 +63,7 @@
       machine: options.machine,
       timings: { ...DEFAULT_TIMINGS, ...options.timings },
       snapshotEvery: options.snapshotEvery ?? SNAPSHOT_EVERY,
+      targetVoters: options.targetVoters ?? Infinity,
       now: options.now ?? (() => performance.now()),
       random: options.random ?? Math.random,
       onEvent: options.onEvent ?? (() => {}),
@@ -159,6 +162,15 @@
     return this.getLeadershipOrThrow().propose('command', command);
   }
 
+  /**
+   * Confirms that this replica's state holds every command acknowledged before the call. It relies
+   * on a round of messages to a quorum and on no clock.
+   * @returns False when that cannot be confirmed in time, or this replica does not lead.
+   */
+  async confirmRead(timeoutMs: number): Promise<boolean> {
+    return (await this.leadership?.confirmQuorum(timeoutMs)) ?? false;
+  }
+
   /**
    * Lets a new replica catch up; it then becomes a voter in place of an older one of its name.
    * @throws NotLeader when this replica does not lead.
--- a/packages/consensus/src/replica/ReplicaState.ts
+++ b/packages/consensus/src/replica/ReplicaState.ts
@@ -15,6 +15,8 @@
   machine: StateMachine;
   timings: Timings;
   snapshotEvery: number;
+  /** Number of voters beyond which newcomers stay learners until a voter falls silent. */
+  targetVoters: number;
   now: () => number;
   random: () => number;
   onEvent: (event: ReplicaEvent) => void;
--- a/packages/consensus/src/time/Timings.ts
+++ b/packages/consensus/src/time/Timings.ts
@@ -6,6 +6,8 @@
   rpcTimeoutMs: number;
   /** Share of the election timeout for which a leader trusts its last quorum contact. */
   leaseShare: number;
+  /** Silence after which a learner that has caught up takes a voter's place. */
+  memberSilenceMs: number;
 }
 
 /** Time limits for replicas a few milliseconds apart. */
@@ -14,4 +16,5 @@
   electionTimeoutMs: 600,
   rpcTimeoutMs: 500,
   leaseShare: 0.8,
+  memberSilenceMs: 2000,
 };
--- /dev/null
+++ b/packages/daemon/src/gateway/main.ts
@@ -0,0 +1,81 @@
+/** The gateway's processes on the users' platform: wires the product to the adapter. */
+import { cac } from 'cac';
+import { ControlNode, EntryNode, SettingsFile } from '@azurecart/gateway';
+import type { GatewaySettings } from '@azurecart/gateway';
+import {
+  PlatformConfigurationCodec,
+  PlatformControlProtocol,
+  PlatformWire,
+} from '@azurecart/platform';
+import { createLogger } from '@azurecart/telemetry';
+import type { Logger } from '@azurecart/telemetry';
+
+/** A running role. */
+interface Role {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+  reload(settings: GatewaySettings): void;
+}
+
+/** Variable that holds the path of the settings file when no option names it. */
+const SETTINGS_VARIABLE = 'AZURECART_BOOT';
+
+const cli = cac('azurecart-gateway');
+cli
+  .command('', 'Run an entry or a control process of the gateway')
+  .option('--settings <file>', `JSON file with the settings; default: $${SETTINGS_VARIABLE}`)
+  .option('--check', 'Only check the settings, then exit')
+  .action((options: { settings?: string; check?: boolean }) => {
+    run(options).catch(fail);
+  });
+cli.help();
+cli.parse();
+
+async function run(options: { settings?: string; check?: boolean }): Promise<void> {
+  const path = options.settings ?? process.env[SETTINGS_VARIABLE];
+  if (!path) throw new Error('--settings FILE is needed; see --help');
+  const file = new SettingsFile(path);
+  const settings = await file.load();
+  if (options.check) {
+    process.stdout.write(`${path}: settings of role ${settings.role} are good\n`);
+    return;
+  }
+  const logger = createLogger({ name: settings.role, vm: settings.vm, level: settings.logLevel });
+  const role = createRole(settings, logger);
+  const stop = (): void => {
+    role.stop().then(() => process.exit(0), fail);
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  await role.start();
+  file.watch(logger);
+  file.changes.subscribe((changed) => role.reload(changed));
+}
+
+function createRole(settings: GatewaySettings, logger: Logger): Role {
+  const codec = new PlatformConfigurationCodec();
+  if (settings.role === 'entry') {
+    const node = new EntryNode({ settings, wire: new PlatformWire(), codec, logger });
+    return {
+      start: () => node.start(),
+      stop: () => node.stop(),
+      reload: (changed) => changed.role === 'entry' && node.reload(changed),
+    };
+  }
+  const node = new ControlNode({
+    settings,
+    codec,
+    protocol: new PlatformControlProtocol(),
+    logger,
+  });
+  return {
+    start: () => node.start(),
+    stop: () => node.stop(),
+    reload: (changed) => changed.role === 'control' && node.reload(changed),
+  };
+}
+
+function fail(error: unknown): never {
+  process.stderr.write(`azurecart-gateway: ${error instanceof Error ? error.stack : String(error)}\n`);
+  process.exit(1);
+}
--- /dev/null
+++ b/packages/gateway/src/configuration/index.ts
@@ -0,0 +1,5 @@
+/** What operators set: schema, checks and lookups. */
+export * from './checkConfiguration.js';
+export * from './Configuration.js';
+export * from './InvalidConfiguration.js';
+export * from './RoutingTable.js';
--- /dev/null
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -0,0 +1,359 @@
+import type { Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  FileStorage,
+  FolderDisk,
+  getOrCreateIdentity,
+  NotLeader,
+  Replica,
+} from '@azurecart/consensus';
+import type {
+  AppendRequest,
+  ReplicaEvent,
+  SnapshotRequest,
+  VoteRequest,
+} from '@azurecart/consensus';
+import type { Announcement } from '@azurecart/discovery';
+import { UpstreamTable } from '@azurecart/discovery';
+import type { Logger } from '@azurecart/telemetry';
+import { checkConfiguration, InvalidConfiguration } from '../configuration/index.js';
+import type { ConfigurationCodec } from '../configuration/index.js';
+import { LinkServer } from '../links/index.js';
+import type { CallHandler, Link } from '../links/index.js';
+import type { ControlSettings } from '../settings/index.js';
+import { ConfigurationState, encodeProposal } from './ConfigurationState.js';
+import type { VersionedDocument } from './ConfigurationState.js';
+import type { ControlInterface, ControlProtocol, SubmitOutcome } from './ControlInterface.js';
+import { createControlServer } from './createControlServer.js';
+import { Feed } from './Feed.js';
+import { Founding } from './Founding.js';
+import { LinkPeers } from './LinkPeers.js';
+import { Mesh } from './Mesh.js';
+import { METHODS } from './messages.js';
+import type { JoinRequest, Referral, Subscription, UpstreamNotice } from './messages.js';
+
+/** What a control process is made of. */
+export interface ControlNodeOptions {
+  settings: ControlSettings;
+  codec: ConfigurationCodec;
+  protocol: ControlProtocol;
+  logger: Logger;
+}
+
+const TIMINGS = {
+  heartbeatMs: 150,
+  electionTimeoutMs: 900,
+  rpcTimeoutMs: 700,
+  leaseShare: 0.8,
+  memberSilenceMs: 1800,
+};
+/** Milliseconds after which a replica whose disk failed is loaded again. */
+const REOPEN_MS = 400;
+/** Milliseconds that a proposal or a quorum read may take on its way through the leader. */
+const QUORUM_TIMEOUT_MS = 900;
+/** Milliseconds between exchanges of what was heard, and looks at the members. */
+const TICK_MS = 500;
+const SNAPSHOT_EVERY = 200;
+
+/** A control process: a replica of the configuration and a hub of discovery. */
+export class ControlNode implements ControlInterface {
+  private replica: Replica | undefined;
+
+  private readonly state: ConfigurationState;
+
+  private readonly table: UpstreamTable;
+
+  private readonly feed: Feed;
+
+  private readonly mesh: Mesh;
+
+  private readonly links: LinkServer;
+
+  private readonly server: Server;
+
+  private readonly handlers = new Map<string, CallHandler>();
+
+  private readonly self: string;
+
+  private founding: Founding | undefined;
+
+  private seeds: string[];
+
+  private heard = new Set<string>();
+
+  private lastCluster = '';
+
+  private isStopped = false;
+
+  constructor(private readonly options: ControlNodeOptions) {
+    const { settings, protocol, logger } = options;
+    const now = (): number => performance.now();
+    this.self = `${settings.host}:${settings.linkPort}`;
+    this.seeds = getLinkAddresses(settings);
+    this.state = new ConfigurationState(() => this.feed.pushConfiguration());
+    this.table = new UpstreamTable({ now });
+    this.feed = new Feed({
+      state: this.state,
+      table: this.table,
+      now,
+      getCluster: () => this.getCluster(),
+    });
+    this.mesh = new Mesh({
+      self: this.self,
+      handlers: this.handlers,
+      onOpen: (link) => this.follow(link),
+    });
+    this.links = new LinkServer({
+      host: settings.host,
+      port: settings.linkPort,
+      handlers: this.handlers,
+      onLink: () => undefined,
+    });
+    this.server = createControlServer({ protocol, control: this, logger });
+    this.addHandlers();
+  }
+
+  /** Starts the replica, the listeners and the tasks. */
+  async start(): Promise<void> {
+    const { settings, logger } = this.options;
+    await this.links.start();
+    await this.openReplica();
+    this.mesh.retain([...this.seeds]);
+    const [host = '', port = '0'] = settings.operators.split(':');
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(Number(port), host, resolve);
+    });
+    this.runUpkeep().catch((error: unknown) => logger.error({ err: error }, 'upkeep ended'));
+    logger.info({ self: this.self, seeds: this.seeds }, 'control started');
+  }
+
+  /** Stops; what was acknowledged is on the disk already. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    this.founding?.stop();
+    this.server.close();
+    this.server.closeAllConnections();
+    await this.replica?.stop();
+    this.links.stop();
+    this.mesh.stop();
+  }
+
+  /** Adopts changed settings. */
+  reload(settings: ControlSettings): void {
+    this.seeds = getLinkAddresses(settings);
+    this.options.logger.info({ seeds: this.seeds }, 'settings reloaded');
+  }
+
+  async submit(document: Uint8Array): Promise<SubmitOutcome> {
+    const { codec, logger } = this.options;
+    let version: number;
+    try {
+      const configuration = codec.decode(document);
+      checkConfiguration(configuration);
+      version = configuration.version;
+    } catch (error) {
+      if (!(error instanceof InvalidConfiguration)) throw error;
+      logger.info({ reason: error.message }, 'configuration refused');
+      return { kind: 'invalid', reason: error.message };
+    }
+    if (this.state.current && this.state.current.version >= version) return { kind: 'accepted' };
+    try {
+      await this.commit({ version, document });
+      logger.info({ version }, 'configuration accepted');
+      return { kind: 'accepted' };
+    } catch (error) {
+      logger.warn({ version, err: error }, 'configuration not confirmed');
+      return { kind: 'unknown', reason: 'no quorum confirmed it in time' };
+    }
+  }
+
+  async read(): Promise<Uint8Array | undefined> {
+    try {
+      if (this.replica?.role === 'leader') {
+        const isConfirmed = await this.replica.confirmRead(QUORUM_TIMEOUT_MS);
+        return isConfirmed ? this.state.current?.document : undefined;
+      }
+      const answer = await this.callLeader(METHODS.read, null);
+      return answer instanceof Uint8Array ? answer : undefined;
+    } catch (error) {
+      this.options.logger.debug({ err: error }, 'quorum read failed');
+      return undefined;
+    }
+  }
+
+  async announce(announcement: Announcement): Promise<void> {
+    const result = this.table.merge(announcement);
+    this.heard.add(announcement.id);
+    const record = this.table.getUpstream(announcement.id);
+    if (result !== 'changed' || !record) return;
+    const { id, service, state } = announcement;
+    this.options.logger.info({ upstream: id, service, state }, 'upstream announced');
+    if (state === 'ready') this.feed.pushUpstream(record);
+    else await this.feed.confirmUpstream(record);
+  }
+
+  async leave(id: string, bornAt: number | undefined): Promise<void> {
+    const known = this.table.getUpstream(id);
+    if (known && bornAt !== undefined && known.bornAt > bornAt) return;
+    const record = this.table.markGone(id);
+    if (!record) return;
+    this.options.logger.info({ upstream: id }, 'upstream left');
+    await this.feed.confirmUpstream(record);
+  }
+
+  private async commit(proposed: VersionedDocument): Promise<void> {
+    if (this.replica?.role === 'leader') await this.propose(proposed);
+    else await this.callLeader(METHODS.propose, proposed);
+  }
+
+  private async propose(proposed: VersionedDocument): Promise<void> {
+    const { replica } = this;
+    if (!replica) throw new NotLeader(undefined);
+    const voters = replica.getMembers().filter((member) => member.voter).length;
+    const quorum = Math.floor(voters / 2) + 1;
+    const { toleratedLosses } = this.options.settings;
+    if (quorum <= toleratedLosses)
+      throw new Error(`a quorum of ${quorum} may be lost with ${toleratedLosses} VMs`);
+    await replica.propose(encodeProposal(proposed));
+  }
+
+  private async callLeader(method: string, body: unknown): Promise<unknown> {
+    const leader = this.replica?.getLeaderAddress();
+    if (!leader || leader === this.self) throw new NotLeader(leader);
+    return this.mesh.getLink(leader).call(method, body, QUORUM_TIMEOUT_MS);
+  }
+
+  private addHandlers(): void {
+    const add = <T>(method: string, handler: (body: T, link: Link) => unknown): void => {
+      this.handlers.set(method, (body, link) => handler(body as T, link));
+    };
+    add<VoteRequest>(METHODS.vote, (body) => this.getReplicaOrThrow().vote(body));
+    add<AppendRequest>(METHODS.append, (body) => this.getReplicaOrThrow().append(body));
+    add<SnapshotRequest>(METHODS.snapshot, (body) =>
+      this.getReplicaOrThrow().installSnapshot(body),
+    );
+    add(METHODS.probe, () => ({ isInitialised: this.replica?.isInitialised ?? false }));
+    add<JoinRequest>(METHODS.join, (body) => this.admit(body));
+    add<VersionedDocument>(METHODS.propose, (body) => this.propose(body));
+    add(METHODS.read, async () => {
+      const { replica } = this;
+      if (replica?.role !== 'leader') return null;
+      return (await replica.confirmRead(QUORUM_TIMEOUT_MS)) ? this.state.current?.document : null;
+    });
+    add<Subscription>(METHODS.subscribe, (body, link) => this.feed.addSubscriber(body, link));
+    add<UpstreamNotice>(METHODS.upstreams, (body) => this.merge(body));
+  }
+
+  private admit({ id, address }: JoinRequest): Referral {
+    const { replica } = this;
+    const leader = replica?.getLeaderAddress() ?? null;
+    if (replica?.role !== 'leader') return { isAccepted: false, leader };
+    replica.addMember({ id, address, name: address });
+    return { isAccepted: true, leader };
+  }
+
+  private getReplicaOrThrow(): Replica {
+    if (!this.replica) throw new Error('the replica is not open');
+    return this.replica;
+  }
+
+  private follow(link: Link): void {
+    link.received.subscribe(({ method, body }) => {
+      if (method === METHODS.upstreams) this.merge(body as UpstreamNotice);
+    });
+    const subscription: Subscription = {
+      kind: 'control',
+      vm: this.options.settings.vm,
+      version: 0,
+    };
+    link.call(METHODS.subscribe, subscription, QUORUM_TIMEOUT_MS).catch(() => link.close());
+  }
+
+  private merge({ records }: UpstreamNotice): void {
+    for (const { ageMs, ...announcement } of records) {
+      const result = this.table.merge(announcement, ageMs);
+      const record = this.table.getUpstream(announcement.id);
+      if (result === 'changed' && record) this.feed.pushUpstream(record);
+    }
+  }
+
+  private getCluster() {
+    const members = this.replica?.getMembers().map((member) => member.address) ?? [];
+    return { members, leader: this.replica?.getLeaderAddress() ?? null };
+  }
+
+  private async openReplica(): Promise<void> {
+    const { settings, logger } = this.options;
+    const disk = await FolderDisk.open(settings.dataFolder);
+    const replica = new Replica({
+      id: await getOrCreateIdentity(disk),
+      name: this.self,
+      address: this.self,
+      storage: new FileStorage(disk),
+      machine: this.state,
+      network: new LinkPeers(this.mesh),
+      timings: TIMINGS,
+      snapshotEvery: SNAPSHOT_EVERY,
+      targetVoters: 2 * settings.toleratedLosses + 1,
+      onEvent: (event) => this.onReplicaEvent(event),
+    });
+    await replica.start();
+    this.replica = replica;
+    const { mesh, self } = this;
+    this.founding = new Founding({
+      replica,
+      disk,
+      mesh,
+      self,
+      getSeeds: () => this.seeds,
+      isFirstStart: settings.isFirstStart,
+      logger,
+    });
+    this.founding.run().catch((error: unknown) => logger.error({ err: error }, 'join ended'));
+  }
+
+  private onReplicaEvent(event: ReplicaEvent): void {
+    this.options.logger.info(event, 'replica');
+    if (event.kind === 'fatal') this.reopen().catch(() => undefined);
+  }
+
+  /** After a failed write the memory may be ahead of the disk, so all is loaded from the disk. */
+  private async reopen(): Promise<void> {
+    const { replica } = this;
+    this.replica = undefined;
+    this.founding?.stop();
+    await replica?.stop().catch(() => undefined);
+    while (!this.isStopped) {
+      await sleep(REOPEN_MS);
+      try {
+        await this.openReplica();
+        return;
+      } catch (error) {
+        this.options.logger.warn({ err: error }, 'storage not usable');
+      }
+    }
+  }
+
+  private async runUpkeep(): Promise<void> {
+    while (!this.isStopped) {
+      await sleep(TICK_MS);
+      this.mesh.retain([...this.seeds, ...this.getCluster().members]);
+      this.table.sweep();
+      this.shareHeard();
+      const cluster = JSON.stringify(this.getCluster());
+      if (cluster !== this.lastCluster) this.feed.pushCluster();
+      this.lastCluster = cluster;
+    }
+  }
+
+  private shareHeard(): void {
+    const records = [...this.heard].flatMap((id) => this.table.getUpstream(id) ?? []);
+    this.heard = new Set();
+    if (records.length > 0) this.feed.pushHeard(records);
+  }
+}
+
+function getLinkAddresses(settings: ControlSettings): string[] {
+  return settings.seeds.map((seed) => `${seed.split(':')[0]}:${settings.linkPort}`);
+}
--- /dev/null
+++ b/packages/gateway/src/control/LinkPeers.ts
@@ -0,0 +1,31 @@
+import type {
+  AppendRequest,
+  AppendResponse,
+  Peer,
+  PeerNetwork,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from '@azurecart/consensus';
+import type { Mesh } from './Mesh.js';
+import { METHODS } from './messages.js';
+
+/** Carries the messages of the replicated log over links. */
+export class LinkPeers implements PeerNetwork {
+  constructor(private readonly mesh: Mesh) {}
+
+  openPeer(address: string): Peer {
+    const call = async <T>(method: string, body: unknown, timeoutMs: number): Promise<T> =>
+      (await this.mesh.getLink(address).call(method, body, timeoutMs)) as T;
+    return {
+      vote: (request: VoteRequest, timeoutMs) =>
+        call<VoteResponse>(METHODS.vote, request, timeoutMs),
+      append: (request: AppendRequest, timeoutMs) =>
+        call<AppendResponse>(METHODS.append, request, timeoutMs),
+      installSnapshot: (request: SnapshotRequest, timeoutMs) =>
+        call<SnapshotResponse>(METHODS.snapshot, request, timeoutMs),
+      close: () => undefined,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/Mesh.ts
@@ -0,0 +1,58 @@
+import type { CallHandler, Link } from '../links/index.js';
+import { OutboundLink } from '../links/index.js';
+
+/** What a mesh needs. */
+export interface MeshOptions {
+  /** This process's own `host:port`, to which no link is opened. */
+  self: string;
+  handlers: Map<string, CallHandler>;
+  onOpen: (link: Link, address: string) => void;
+}
+
+/** Links to the control processes, opened on demand and kept open. */
+export class Mesh {
+  private readonly links = new Map<string, OutboundLink>();
+
+  constructor(private readonly options: MeshOptions) {}
+
+  /** Gets the link to an address and opens it when there is none. */
+  getLink(address: string): OutboundLink {
+    const known = this.links.get(address);
+    if (known) return known;
+    const [host = '', port = '0'] = address.split(':');
+    const link = new OutboundLink({
+      host,
+      port: Number(port),
+      handlers: this.options.handlers,
+      onOpen: (opened) => this.options.onOpen(opened, address),
+    });
+    this.links.set(address, link);
+    link.run().catch(() => this.links.delete(address));
+    return link;
+  }
+
+  /** Opens links to addresses and closes those to others. */
+  retain(addresses: string[]): void {
+    const wanted = new Set(addresses.filter((address) => address !== this.options.self));
+    wanted.forEach((address) => this.getLink(address));
+    for (const [address, link] of this.links) {
+      if (!wanted.has(address)) {
+        link.stop();
+        this.links.delete(address);
+      }
+    }
+  }
+
+  /** Gets the links that are open. */
+  getOpen(): Link[] {
+    return [...this.links.values()].flatMap((link) => link.current ?? []);
+  }
+
+  getAddresses(): string[] {
+    return [...this.links.keys()];
+  }
+
+  stop(): void {
+    this.links.forEach((link) => link.stop());
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -0,0 +1,49 @@
+import type { UpstreamRecord } from '@azurecart/discovery';
+import type { Placement, PlacementRequest, Placer, Reservation } from './Placement.js';
+import type { UpstreamHealth } from './UpstreamHealth.js';
+import type { View } from './View.js';
+
+/** What the placer looks at. */
+export interface LeastLoadedPlacerOptions {
+  view: View;
+  health: UpstreamHealth;
+  dataCentre: string;
+}
+
+/** Milliseconds after which a client may come back when no upstream is known. */
+const RETRY_AFTER_MS = 500;
+/** Requests in flight that a share of failures of one counts as. */
+const FAILURE_COST = 8;
+/** Requests in flight that another data centre counts as. */
+const DISTANCE_COST = 0.5;
+
+/** Takes the upstream with the fewest requests of this process, the near and healthy first. */
+export class LeastLoadedPlacer implements Placer {
+  constructor(private readonly options: LeastLoadedPlacerOptions) {}
+
+  async place(request: PlacementRequest): Promise<Placement> {
+    const { view, health } = this.options;
+    const ready = view.table.getReady(request.service);
+    const fresh = ready.filter(({ id }) => !request.excluded.has(id));
+    const healthy = fresh.filter(({ id }) => !health.isAvoided(id));
+    const candidates = healthy.length > 0 ? healthy : fresh;
+    const [best] = candidates
+      .map((upstream) => ({ upstream, cost: this.getCost(upstream) }))
+      .sort((a, b) => a.cost - b.cost);
+    if (!best) return { kind: 'refused', reason: 'no upstream', retryAfterMs: RETRY_AFTER_MS };
+    return { kind: 'placed', upstream: best.upstream, helpers: [] };
+  }
+
+  reserve(_request: PlacementRequest, upstream: UpstreamRecord): Reservation {
+    const { health } = this.options;
+    health.start(upstream.id);
+    return { addProgress: () => undefined, release: () => health.finish(upstream.id) };
+  }
+
+  private getCost(upstream: UpstreamRecord): number {
+    const { health, dataCentre } = this.options;
+    const distance = upstream.dataCentre === dataCentre ? 0 : DISTANCE_COST;
+    const failures = health.getFailureShare(upstream.id) * FAILURE_COST;
+    return health.getInFlight(upstream.id) + distance + failures + Math.random() * DISTANCE_COST;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/links/LinkServer.ts
@@ -0,0 +1,43 @@
+import { createServer } from 'node:net';
+import type { Server } from 'node:net';
+import { Link } from './Link.js';
+import type { CallHandler } from './Link.js';
+
+/** What a server of links needs. */
+export interface LinkServerOptions {
+  host: string;
+  port: number;
+  handlers: Map<string, CallHandler>;
+  onLink: (link: Link) => void;
+}
+
+/** Accepts links of other processes. */
+export class LinkServer {
+  private readonly links = new Set<Link>();
+
+  private readonly server: Server;
+
+  constructor(private readonly options: LinkServerOptions) {
+    this.server = createServer((socket) => {
+      const link = new Link({ socket, handlers: options.handlers });
+      this.links.add(link);
+      link.ended.then(() => this.links.delete(link));
+      options.onLink(link);
+    });
+  }
+
+  /** Starts listening; rejects when the address is taken. */
+  start(): Promise<void> {
+    const { host, port } = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Closes the server and all its links. */
+  stop(): void {
+    this.server.close();
+    this.links.forEach((link) => link.close());
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/settings/GatewaySettings.ts
@@ -0,0 +1,42 @@
+import { z } from 'zod';
+
+const addressSchema = z.string().regex(/^[^\s:]+:\d+$/, 'must be host:port');
+
+const commonSchema = z.object({
+  vm: z.string().describe('name of the VM, for logs'),
+  host: z.string().describe('address at which other processes reach this one'),
+  dataCentre: z.string().describe('data centre of the VM'),
+  linkPort: z.number().int().describe('port for links between processes'),
+  seeds: z.array(addressSchema).describe('operator addresses of some control VMs'),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+});
+
+/** Settings of an entry process. */
+export const entrySettingsSchema = commonSchema.extend({
+  role: z.literal('entry'),
+  front: addressSchema.describe('address for clients'),
+  readiness: addressSchema.describe('address for the balancer and metrics'),
+  memoryMb: z.number().describe('memory limit of the process in MB'),
+  graceSeconds: z.number().describe('seconds between SIGTERM and SIGKILL'),
+  retryRatio: z.number().describe('retries allowed per request of a service'),
+  retryWindowSeconds: z.number().describe('seconds over which retries are counted'),
+  retryExtra: z.number().describe('retries allowed per window beside the ratio, over all VMs'),
+});
+
+/** Settings of a control process. */
+export const controlSettingsSchema = commonSchema.extend({
+  role: z.literal('control'),
+  operators: addressSchema.describe('address for operators and upstreams'),
+  dataFolder: z.string().describe('folder for durable state'),
+  isFirstStart: z.boolean().describe('true only when the whole system starts for the first time'),
+  toleratedLosses: z.number().int().describe('control VMs that may be lost at the same time'),
+});
+
+export const gatewaySettingsSchema = z.discriminatedUnion('role', [
+  entrySettingsSchema,
+  controlSettingsSchema,
+]);
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type ControlSettings = z.infer<typeof controlSettingsSchema>;
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- /dev/null
+++ b/packages/gateway/src/settings/SettingsFile.ts
@@ -0,0 +1,68 @@
+import { readFile, stat } from 'node:fs/promises';
+import { Subject } from 'rxjs';
+import { z } from 'zod';
+import type { Logger } from '@azurecart/telemetry';
+import { gatewaySettingsSchema } from './GatewaySettings.js';
+import type { GatewaySettings } from './GatewaySettings.js';
+
+/** The settings file cannot be used. */
+export class SettingsFault extends Error {
+  override readonly name = 'SettingsFault';
+}
+
+/** Milliseconds between two looks at the file's time of change. */
+const POLL_MS = 1000;
+
+/** A settings file that may change while the process runs, with or without a signal. */
+export class SettingsFile {
+  readonly changes = new Subject<GatewaySettings>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private changedAt = 0;
+
+  private text = '';
+
+  constructor(private readonly path: string) {}
+
+  /**
+   * Loads the file.
+   * @throws SettingsFault naming each field that is missing or wrong.
+   */
+  async load(): Promise<GatewaySettings> {
+    this.changedAt = (await stat(this.path)).mtimeMs;
+    this.text = await readFile(this.path, 'utf8');
+    return parseSettings(this.text, this.path);
+  }
+
+  /** Looks for changes until stopped. */
+  watch(logger: Logger): void {
+    const check = (): void => {
+      this.check().catch((error: unknown) => logger.warn({ err: error }, 'settings not reloaded'));
+    };
+    this.timer = setInterval(check, POLL_MS);
+    this.timer.unref();
+    process.on('SIGHUP', check);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private async check(): Promise<void> {
+    const { mtimeMs } = await stat(this.path);
+    if (mtimeMs === this.changedAt) return;
+    const { text } = this;
+    const settings = await this.load();
+    if (this.text !== text) this.changes.next(settings);
+  }
+}
+
+function parseSettings(text: string, path: string): GatewaySettings {
+  try {
+    return gatewaySettingsSchema.parse(JSON.parse(text));
+  } catch (error) {
+    const detail = error instanceof z.ZodError ? z.prettifyError(error) : String(error);
+    throw new SettingsFault(`${path}: ${detail}`);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/settings/index.ts
@@ -0,0 +1,3 @@
+/** Settings of the gateway's processes. */
+export * from './GatewaySettings.js';
+export * from './SettingsFile.js';
--- /dev/null
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -0,0 +1,98 @@
+import { request as openRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { UpstreamAgent } from './UpstreamAgent.js';
+
+/** Why a call ended without an answer. */
+export class UpstreamFault extends Error {
+  override readonly name = 'UpstreamFault';
+
+  /** @param isNotRun - True when the request certainly did not reach the upstream. */
+  constructor(
+    message: string,
+    readonly isNotRun: boolean,
+  ) {
+    super(message);
+  }
+}
+
+/** A request to an upstream. */
+export interface UpstreamCallOptions {
+  address: string;
+  method: string;
+  path: string;
+  headers: [string, string][];
+  body: Buffer;
+  /** Connections are kept here; without it the call has a connection of its own. */
+  agent?: UpstreamAgent;
+  /** Milliseconds for a new connection to be established. */
+  connectTimeoutMs: number;
+}
+
+/** One request to one upstream, from the connection to the head of the answer. */
+export class UpstreamCall {
+  private request: ClientRequest | undefined;
+
+  private isConnected = false;
+
+  /** True when the request went out on a connection that earlier requests had used. */
+  get isReused(): boolean {
+    return this.request?.reusedSocket ?? false;
+  }
+
+  constructor(private readonly options: UpstreamCallOptions) {}
+
+  /**
+   * Sends the request and gets the head of the answer.
+   * @throws UpstreamFault when the connection fails.
+   */
+  send(): Promise<IncomingMessage> {
+    const { options } = this;
+    const [host, port] = options.address.split(':');
+    return new Promise((resolve, reject) => {
+      const request = openRequest({
+        host,
+        port: Number(port),
+        method: options.method,
+        path: options.path,
+        headers: toHeaderList(options),
+        agent: options.agent ?? false,
+        setHost: false,
+      });
+      this.request = request;
+      const timer = setTimeout(() => {
+        request.destroy(new Error('connection not established in time'));
+      }, options.connectTimeoutMs);
+      request.once('socket', (socket) => {
+        const onConnected = (): void => {
+          this.isConnected = true;
+          clearTimeout(timer);
+        };
+        if (socket.connecting) socket.once('connect', onConnected);
+        else onConnected();
+      });
+      request.once('response', resolve);
+      request.on('error', (error) => {
+        clearTimeout(timer);
+        reject(new UpstreamFault(error.message, !this.isConnected));
+      });
+      request.once('close', () => {
+        clearTimeout(timer);
+        reject(new UpstreamFault('connection closed without an answer', !this.isConnected));
+      });
+      request.end(options.body);
+    });
+  }
+
+  /** Ends the call and its connection. */
+  abort(): void {
+    this.request?.destroy();
+  }
+}
+
+function toHeaderList({ headers, body, method, agent }: UpstreamCallOptions): string[] {
+  const list = headers.filter(([name]) => name.toLowerCase() !== 'content-length').flat();
+  const hasBody = body.length > 0 || (method !== 'GET' && method !== 'HEAD');
+  if (hasBody) list.push('Content-Length', String(body.length));
+  list.push('Connection', agent ? 'keep-alive' : 'close');
+  return list;
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/index.ts
@@ -0,0 +1,5 @@
+/** Calls to upstreams over HTTP. */
+export * from './EventCutter.js';
+export * from './hopHeaders.js';
+export * from './UpstreamAgent.js';
+export * from './UpstreamCall.js';
