--- a/packages/consensus/src/replica/Leadership.ts
+++ b/packages/consensus/src/replica/Leadership.ts
@@ -231,12 +231,13 @@
     return { members, timings: options.timings };
   }
 
-  /** Milliseconds since a member last answered, counted from the start of this leadership. */
+  /** Milliseconds since a member last answered, or since the replication to it began. */
   private getSilence(member: Member): number {
     const { state } = this.options;
     if (member.id === state.options.id) return 0;
-    const contactAt = this.replicators.get(member.id)?.contactAt ?? -Infinity;
-    return state.options.now() - Math.max(contactAt, this.startedAt);
+    const replicator = this.replicators.get(member.id);
+    if (!replicator) return 0;
+    return state.options.now() - Math.max(replicator.contactAt, replicator.startedAt);
   }
 
   private getPromotion(learner: Member): Member[] | undefined {
--- a/packages/consensus/src/replica/Replicator.ts
+++ b/packages/consensus/src/replica/Replicator.ts
@@ -30,6 +30,9 @@
   /** Send time of the last message that the member answered in this term. */
   contactAt = -Infinity;
 
+  /** Time at which the replication to the member began. */
+  readonly startedAt: number;
+
   private nextIndex: number;
 
   private isStopped = false;
@@ -38,6 +41,7 @@
 
   constructor(private readonly options: ReplicatorOptions) {
     this.nextIndex = options.state.log.lastIndex + 1;
+    this.startedAt = options.state.options.now();
   }
 
   /** Sends entries and heartbeats until the leadership ends. */
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -50,7 +50,8 @@
 
   private open = 0;
 
-  private leavingSince: number | undefined;
+  /** Monotonic time in milliseconds at which the process ends; undefined while it stays. */
+  private endAt: number | undefined;
 
   constructor(private readonly options: EntryNodeOptions) {
     const { settings, wire, codec, logger } = options;
@@ -67,6 +68,7 @@
       agent: new UpstreamAgent(),
       getBudget: (service) => this.getBudget(service),
       random: Math.random,
+      getTimeToLive: () => this.getTimeToLive(),
       logger,
     });
     this.front = createServer((request, response) => this.take(request, response));
@@ -88,8 +90,8 @@
   /** Leaves the balancer, finishes what was read, and stops. */
   async stop(): Promise<void> {
     const { settings, logger } = this.options;
-    this.leavingSince = performance.now();
-    const endAt = this.leavingSince + settings.graceSeconds * MS_PER_SECOND - EXIT_MARGIN_MS;
+    const endAt = performance.now() + settings.graceSeconds * MS_PER_SECOND - EXIT_MARGIN_MS;
+    this.endAt = endAt;
     logger.info({ open: this.open }, 'leaving');
     await sleep(LEAVE_MS);
     while (this.open > 0 && performance.now() < endAt) await sleep(20);
@@ -107,7 +109,11 @@
   }
 
   private get isLeaving(): boolean {
-    return this.leavingSince !== undefined;
+    return this.endAt !== undefined;
+  }
+
+  private getTimeToLive(): number {
+    return this.endAt === undefined ? Infinity : this.endAt - performance.now();
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -2,7 +2,13 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import type { Customer, Route, RoutingTable } from '../configuration/index.js';
-import { EventCutter, getEndToEndHeaders, UpstreamCall, UpstreamFault } from '../upstreams/index.js';
+import {
+  CompletionWatch,
+  EventCutter,
+  getEndToEndHeaders,
+  UpstreamCall,
+  UpstreamFault,
+} from '../upstreams/index.js';
 import type { UpstreamAgent } from '../upstreams/index.js';
 import { BodyTooLong, ClientGone } from './Exchange.js';
 import type { Exchange } from './Exchange.js';
@@ -19,6 +25,8 @@
   agent: UpstreamAgent;
   getBudget: (service: string) => SharedRetryBudget;
   random: () => number;
+  /** Milliseconds that are left before the process ends; infinite while it is not leaving. */
+  getTimeToLive: () => number;
   logger: Logger;
 }
 
@@ -65,6 +73,11 @@
 const RETRY_AFTER_MS = 300;
 /** Longest answer of an upstream that is held in memory, in bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Milliseconds after which a client may come back to another process. */
+const LEAVING_RETRY_AFTER_MS = 50;
+/** Milliseconds that a leaving process must have left to take a stream, or another request. */
+const STREAM_RUN_MS = 4000;
+const CALL_RUN_MS = 1000;
 const TIMED_OUT = 'time is over';
 
 /** Serves one request from its head to its last byte. */
@@ -115,6 +128,10 @@
     known: Pick<Job, 'terms' | 'route' | 'customer' | 'body'>,
   ): Promise<void> {
     const { terms, route } = known;
+    if (this.options.getTimeToLive() < getLongestRun(route)) {
+      exchange.reply(503, 'not run: this process is leaving', LEAVING_RETRY_AFTER_MS);
+      return;
+    }
     const service = chooseService(route, this.options.random());
     const allowedMs = Math.min(terms.deadlineMs ?? Infinity, route.timeoutMs);
     const dueAt = exchange.startedAt + allowedMs;
@@ -163,7 +180,7 @@
     else if (runs === 0) {
       const retryAfterMs = outcome.kind === 'refused' ? outcome.retryAfterMs : RETRY_AFTER_MS;
       exchange.reply(503, `not run: ${outcome.reason}`, retryAfterMs);
-    } else exchange.reply(performance.now() >= job.dueAt ? 504 : 502, outcome.reason);
+    } else exchange.reply(job.signal.aborted ? 504 : 502, outcome.reason);
   }
 
   private mayRetry(job: Job, outcome: AttemptOutcome): boolean {
@@ -306,6 +323,7 @@
     const { health } = this.options;
     const { exchange } = job;
     const cutter = new EventCutter();
+    const watch = new CompletionWatch(response);
     const isFirstRun = !exchange.response.headersSent;
     const head = getEndToEndHeaders(response.rawHeaders);
     let hasProgress = false;
@@ -323,7 +341,7 @@
       if (!job.signal.aborted) health.addBadAnswer(upstream.id);
       return { kind: 'unknown', reason: `stream broke off: ${String(error)}` };
     }
-    if (!response.complete || job.signal.aborted)
+    if (!watch.isWhole || job.signal.aborted)
       return { kind: 'unknown', reason: 'stream broke off' };
     if (cutter.hasPartial) return { kind: 'unknown', reason: 'stream ended within an event' };
     if (isFirstRun && !exchange.response.headersSent)
@@ -348,6 +366,11 @@
   }
 }
 
+/** Gets the milliseconds that requests of a route may need while a process is leaving. */
+function getLongestRun(route: Route): number {
+  return route.kind === 'stream' ? Math.min(STREAM_RUN_MS, route.timeoutMs) : CALL_RUN_MS;
+}
+
 function getPriority(job: Job): number {
   return job.customer?.priority ?? job.route.priority;
 }
@@ -391,6 +414,7 @@
 
 /** Reads a whole answer; undefined when it is cut short. */
 async function readWhole(response: IncomingMessage): Promise<Buffer | undefined> {
+  const watch = new CompletionWatch(response);
   const chunks: Buffer[] = [];
   let size = 0;
   try {
@@ -402,7 +426,7 @@
   } catch {
     return undefined;
   }
-  return response.complete ? Buffer.concat(chunks) : undefined;
+  return watch.isWhole ? Buffer.concat(chunks) : undefined;
 }
 
 /** Reads the rest of a request that is refused, so that the connection can go on. */
--- a/packages/gateway/src/upstreams/index.ts
+++ b/packages/gateway/src/upstreams/index.ts
@@ -1,4 +1,5 @@
 /** Calls to upstreams over HTTP. */
+export * from './CompletionWatch.js';
 export * from './EventCutter.js';
 export * from './hopHeaders.js';
 export * from './UpstreamAgent.js';
