Tell a reset from an orderly end of a lengthless answer

Ruled out: the error event of the socket, which never comes. Change: an empty line is written at the end of such an answer; the write fails after a reset.

--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -341,7 +341,7 @@
       if (!job.signal.aborted) health.addBadAnswer(upstream.id);
       return { kind: 'unknown', reason: `stream broke off: ${String(error)}` };
     }
-    if (!watch.isWhole || job.signal.aborted)
+    if (!(await watch.isWhole()) || job.signal.aborted)
       return { kind: 'unknown', reason: 'stream broke off' };
     if (cutter.hasPartial) return { kind: 'unknown', reason: 'stream ended within an event' };
     if (isFirstRun && !exchange.response.headersSent)
@@ -426,7 +426,7 @@
   } catch {
     return undefined;
   }
-  return watch.isWhole ? Buffer.concat(chunks) : undefined;
+  return (await watch.isWhole()) ? Buffer.concat(chunks) : undefined;
 }
 
 /** Reads the rest of a request that is refused, so that the connection can go on. */
