--- a/packages/consensus/src/replica/Replica.ts
+++ b/packages/consensus/src/replica/Replica.ts
@@ -148,6 +148,11 @@
     return this.state.members.current.find((member) => member.id === leader)?.address;
   }
 
+  /** Milliseconds since a leader was last heard; 0 on the leader. */
+  get leaderSilenceMs(): number {
+    return this.state.role === 'leader' ? 0 : this.state.options.now() - this.state.heardAt;
+  }
+
   /** True while this replica leads and no other can have been elected. */
   hasLease(): boolean {
     return this.leadership?.hasLease() ?? false;
--- a/packages/gateway/src/control/Founding.ts
+++ b/packages/gateway/src/control/Founding.ts
@@ -19,6 +19,8 @@
 }
 
 const RETRY_MS = 200;
+/** Silence of the leader in milliseconds after which a member asks to join again. */
+const FORSAKEN_MS = 2000;
 const CALL_TIMEOUT_MS = 800;
 /** Marks a disk that took part in the first start, so that a restart may still found the cluster. */
 const FOUNDER_FILE = 'founder';
@@ -34,11 +36,14 @@
 
   constructor(private readonly options: FoundingOptions) {}
 
-  /** Joins whenever the replica is no member, until stopped. */
+  /**
+   * Joins whenever the replica is no member or hears no leader, until stopped. A replica that was
+   * replaced while it was cut off does not know that, for its log ends before its removal.
+   */
   async run(): Promise<void> {
     const mayFound = await this.isFounder();
     while (!this.isStopped) {
-      if (!this.isMember()) await this.findCluster(mayFound).catch(() => undefined);
+      if (!this.isMember() || this.isForsaken()) await this.findCluster(mayFound).catch(() => undefined);
       await sleep(RETRY_MS);
     }
   }
@@ -59,6 +64,10 @@
     return replica.getMembers().some((member) => member.id === replica.id);
   }
 
+  private isForsaken(): boolean {
+    return this.options.replica.leaderSilenceMs > FORSAKEN_MS;
+  }
+
   private async findCluster(mayFound: boolean): Promise<void> {
     const { mesh, self, replica, getSeeds, logger } = this.options;
     const known = [...new Set([...getSeeds(), ...mesh.getAddresses()])];
