Replicate to members added again; give entries only a recent configuration

Cause: the replicator of a member that had been removed stayed in the leader's table, so the member added again was never replicated to, counted as silent and was removed at once, five times a second.

--- a/packages/consensus/src/replica/Follower.ts
+++ b/packages/consensus/src/replica/Follower.ts
@@ -42,6 +42,7 @@
     await this.takeEntries(request.entries.filter((entry) => entry.index > first));
     const lastIndex = request.previousIndex + request.entries.length;
     state.commitTo(Math.min(request.commitIndex, lastIndex));
+    if (state.appliedIndex >= request.commitIndex) state.isCaughtUp = true;
     return { term: state.term, success: true, matchIndex: lastIndex };
   }
 
--- a/packages/consensus/src/replica/Leadership.ts
+++ b/packages/consensus/src/replica/Leadership.ts
@@ -65,6 +65,11 @@
     return state.options.now() - this.getQuorumContact() < electionTimeoutMs * leaseShare;
   }
 
+  /** True once an entry of this term is applied, and with it all that was committed before. */
+  get isOpened(): boolean {
+    return this.isCurrent() && this.options.state.appliedIndex >= this.firstIndex;
+  }
+
   /**
    * Confirms by messages sent after the call that no other leader has been elected before it.
    * @returns False when the leadership ends or the quorum does not answer in time.
@@ -162,7 +167,10 @@
       if (isOther && !this.replicators.has(member.id)) this.startReplicator(member, network);
     }
     for (const [id, replicator] of this.replicators) {
-      if (!state.members.hasMember(id)) replicator.stop();
+      if (!state.members.hasMember(id)) {
+        replicator.stop();
+        this.replicators.delete(id);
+      }
     }
   }
 
--- a/packages/consensus/src/replica/Replica.ts
+++ b/packages/consensus/src/replica/Replica.ts
@@ -148,6 +148,15 @@
     return this.state.members.current.find((member) => member.id === leader)?.address;
   }
 
+  /**
+   * True while the state is recent: it holds what was committed when a leader was last heard, not
+   * longer ago than the given time. What a replica has loaded at its start may be old.
+   */
+  isRecent(maxSilenceMs: number): boolean {
+    if (this.state.role === 'leader') return this.leadership?.isOpened ?? false;
+    return this.state.isCaughtUp && this.leaderSilenceMs <= maxSilenceMs;
+  }
+
   /** Milliseconds since a leader was last heard; 0 on the leader. */
   get leaderSilenceMs(): number {
     return this.state.role === 'leader' ? 0 : this.state.options.now() - this.state.heardAt;
--- a/packages/consensus/src/replica/ReplicaState.ts
+++ b/packages/consensus/src/replica/ReplicaState.ts
@@ -46,6 +46,9 @@
 
   electionAt = 0;
 
+  /** True once everything is applied that a leader has told to be committed since the start. */
+  isCaughtUp = false;
+
   commitIndex = 0;
 
   appliedIndex = 0;
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -54,6 +54,8 @@
 /** Milliseconds between exchanges of what was heard, and looks at the members. */
 const TICK_MS = 500;
 const SNAPSHOT_EVERY = 200;
+/** Silence of the leader in milliseconds up to which the configuration is given to entries. */
+const RECENT_MS = 1500;
 
 /** A control process: a replica of the configuration and a hub of discovery. */
 export class ControlNode implements ControlInterface {
@@ -96,6 +98,7 @@
       state: this.state,
       table: this.table,
       now,
+      isRecent: () => this.replica?.isRecent(RECENT_MS) ?? false,
       getCluster: () => this.getCluster(),
     });
     this.mesh = new Mesh({
@@ -341,6 +344,7 @@
       this.mesh.retain([...this.seeds, ...this.getCluster().members]);
       this.table.sweep();
       this.shareHeard();
+      this.feed.pushConfiguration();
       const cluster = JSON.stringify(this.getCluster());
       if (cluster !== this.lastCluster) this.feed.pushCluster();
       this.lastCluster = cluster;
--- a/packages/gateway/src/control/Feed.ts
+++ b/packages/gateway/src/control/Feed.ts
@@ -10,6 +10,8 @@
   state: ConfigurationState;
   table: UpstreamTable;
   now: () => number;
+  /** False while the configuration held may be older than an acknowledged one. */
+  isRecent: () => boolean;
   getCluster: () => Omit<ClusterNotice, 'entries'>;
 }
 
@@ -91,7 +93,7 @@
 
   private pushConfigurationTo(subscriber: Subscriber): void {
     const { current } = this.options.state;
-    if (!current || subscriber.kind !== 'entry' || subscriber.version >= current.version) return;
+    if (!current || !this.options.isRecent() || subscriber.kind !== 'entry' || subscriber.version >= current.version) return;
     if (this.deflated?.version !== current.version)
       this.deflated = { version: current.version, bytes: deflateRawSync(current.document) };
     const { bytes: deflated } = this.deflated;
