Let the leading control process place prompts by a model of the engines' passes

Change: scheduling/engines packs short prompts, keeps engines clear for long ones, lets those wait within their objective and idle engines help; entry VMs ask the leader and decide alone after an eighth of the objective.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -17,7 +17,7 @@
 import { UpstreamTable } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfiguration } from '../configuration/index.js';
-import type { ConfigurationCodec } from '../configuration/index.js';
+import type { Configuration, ConfigurationCodec } from '../configuration/index.js';
 import { LinkServer } from '../links/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import type { ControlSettings } from '../settings/index.js';
@@ -31,6 +31,7 @@
 import { Mesh } from './Mesh.js';
 import { METHODS } from './messages.js';
 import type { JoinRequest, Referral, Subscription, UpstreamNotice } from './messages.js';
+import { PlacementService } from './PlacementService.js';
 
 /** What a control process is made of. */
 export interface ControlNodeOptions {
@@ -69,6 +70,10 @@
 
   private readonly mesh: Mesh;
 
+  private readonly placement: PlacementService;
+
+  private configuration: Configuration | undefined;
+
   private readonly links: LinkServer;
 
   private readonly server: Server;
@@ -92,7 +97,7 @@
     const now = (): number => performance.now();
     this.self = `${settings.host}:${settings.linkPort}`;
     this.seeds = getLinkAddresses(settings);
-    this.state = new ConfigurationState(() => this.feed.pushConfiguration());
+    this.state = new ConfigurationState(() => this.adoptConfiguration());
     this.table = new UpstreamTable({ now });
     this.feed = new Feed({
       state: this.state,
@@ -101,6 +106,12 @@
       isRecent: () => this.replica?.isRecent(RECENT_MS) ?? false,
       getCluster: () => this.getCluster(),
     });
+    this.placement = new PlacementService({
+      table: this.table,
+      getConfiguration: () => this.configuration,
+      isLeader: () => this.replica?.role === 'leader',
+      logger,
+    });
     this.mesh = new Mesh({
       self: this.self,
       handlers: this.handlers,
@@ -110,7 +121,7 @@
       host: settings.host,
       port: settings.linkPort,
       handlers: this.handlers,
-      onLink: () => undefined,
+      onLink: (link) => this.placement.follow(link),
     });
     this.server = createControlServer({ protocol, control: this, logger });
     this.addHandlers();
@@ -134,6 +145,7 @@
   /** Stops; what was acknowledged is on the disk already. */
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.placement.stop();
     this.founding?.stop();
     this.server.close();
     this.server.closeAllConnections();
@@ -227,7 +239,14 @@
     return this.mesh.getLink(leader).call(method, body, QUORUM_TIMEOUT_MS);
   }
 
+  private adoptConfiguration(): void {
+    const { current } = this.state;
+    this.configuration = current && this.options.codec.decode(current.document);
+    this.feed.pushConfiguration();
+  }
+
   private addHandlers(): void {
+    this.placement.addHandlers(this.handlers);
     const add = <T>(method: string, handler: (body: T, link: Link) => unknown): void => {
       this.handlers.set(method, (body, link) => handler(body as T, link));
     };
@@ -318,6 +337,7 @@
 
   private onReplicaEvent(event: ReplicaEvent): void {
     this.options.logger.info(event, 'replica');
+    if (event.kind === 'role') this.feed.pushCluster();
     if (event.kind === 'fatal') this.reopen().catch(() => undefined);
   }
 
--- /dev/null
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -0,0 +1,134 @@
+import type { UpstreamTable } from '@azurecart/discovery';
+import { EngineScheduler } from '@azurecart/scheduling';
+import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import type { Logger } from '@azurecart/telemetry';
+import type { Configuration, Service } from '../configuration/index.js';
+import type { CallHandler, Link } from '../links/index.js';
+import { METHODS } from './messages.js';
+import type { AdoptNotice, JobNotice, PlacedNotice } from './messages.js';
+
+/** What the service needs. */
+export interface PlacementServiceOptions {
+  table: UpstreamTable;
+  /** Gets the configuration that is in force. */
+  getConfiguration: () => Configuration | undefined;
+  isLeader: () => boolean;
+  logger: Logger;
+}
+
+interface KnownJob {
+  scheduler: EngineScheduler;
+  link: Link;
+}
+
+/** Milliseconds between two looks at queued jobs. */
+const TICK_MS = 20;
+
+/**
+ * Places prompts for all entry processes while this process leads.
+ * @remarks Its knowledge is soft: entry processes tell a new leader what they have running.
+ */
+export class PlacementService {
+  private readonly schedulers = new Map<string, EngineScheduler>();
+
+  private readonly jobs = new Map<string, KnownJob>();
+
+  private readonly timer: NodeJS.Timeout;
+
+  private readonly followed = new WeakSet<Link>();
+
+  constructor(private readonly options: PlacementServiceOptions) {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  addHandlers(handlers: Map<string, CallHandler>): void {
+    handlers.set(METHODS.place, (body, link) => this.place(body as EngineJob, link));
+  }
+
+  /** Follows what an entry process tells of its jobs. */
+  follow(link: Link): void {
+    if (this.followed.has(link)) return;
+    this.followed.add(link);
+    link.received.subscribe(({ method, body }) => {
+      if (method === METHODS.adopt) this.adopt(body as AdoptNotice, link);
+      else if (method === METHODS.progress) this.markWriting((body as JobNotice).id);
+      else if (method === METHODS.release) this.release(body as JobNotice);
+    });
+    link.ended.then(() => this.releaseAllOf(link));
+  }
+
+  private place(job: EngineJob, link: Link): EngineDecision {
+    if (!this.options.isLeader()) throw new Error('not the leader');
+    const scheduler = this.getScheduler(job.service);
+    if (!scheduler) throw new Error(`no engines known for service ${job.service}`);
+    this.follow(link);
+    scheduler.setEngines(this.options.table.getReady(job.service));
+    const decision = scheduler.place(job);
+    if (decision.kind !== 'refused') this.jobs.set(job.id, { scheduler, link });
+    if (decision.kind !== 'placed') this.log(job.id, decision);
+    return decision;
+  }
+
+  private adopt({ job, upstream, isWriting }: AdoptNotice, link: Link): void {
+    const scheduler = this.getScheduler(job.service);
+    if (!scheduler || this.jobs.has(job.id)) return;
+    scheduler.setEngines(this.options.table.getReady(job.service));
+    scheduler.adopt(job, upstream, isWriting);
+    this.jobs.set(job.id, { scheduler, link });
+  }
+
+  private markWriting(id: string): void {
+    this.jobs.get(id)?.scheduler.markWriting(id);
+  }
+
+  private release({ id, broken }: JobNotice): void {
+    const known = this.jobs.get(id);
+    if (!known) return;
+    this.jobs.delete(id);
+    if (broken) known.scheduler.avoid(broken);
+    known.scheduler.release(id);
+  }
+
+  private releaseAllOf(link: Link): void {
+    for (const [id, known] of this.jobs) if (known.link === link) this.release({ id });
+  }
+
+  private getScheduler(service: string): EngineScheduler | undefined {
+    const known = this.schedulers.get(service);
+    if (known) return known;
+    const pace = this.getService(service)?.engine;
+    if (!pace) return undefined;
+    const scheduler = new EngineScheduler({
+      pace,
+      now: () => performance.now(),
+      onDecided: (id, decision) => this.tell(id, decision),
+    });
+    this.schedulers.set(service, scheduler);
+    return scheduler;
+  }
+
+  private getService(name: string): Service | undefined {
+    return this.options.getConfiguration()?.services.find((service) => service.name === name);
+  }
+
+  private tell(id: string, decision: EngineDecision): void {
+    const notice: PlacedNotice = { id, decision };
+    this.jobs.get(id)?.link.notify(METHODS.placed, notice);
+    if (decision.kind === 'refused') this.jobs.delete(id);
+    this.log(id, decision);
+  }
+
+  private tick(): void {
+    for (const scheduler of this.schedulers.values()) {
+      if (scheduler.queueLength > 0) scheduler.decideQueued();
+    }
+  }
+
+  private log(request: string, decision: EngineDecision): void {
+    this.options.logger.info({ request, decision }, 'placement');
+  }
+}
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -1,4 +1,5 @@
 import type { Announcement } from '@azurecart/discovery';
+import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
 
 /** Names of the calls and notices between processes. */
 export const METHODS = {
@@ -13,6 +14,11 @@
   upstreams: 'upstreams',
   configuration: 'configuration',
   cluster: 'cluster',
+  place: 'place',
+  placed: 'placed',
+  adopt: 'adopt',
+  progress: 'progress',
+  release: 'release',
 } as const;
 
 /** What a control process tells of itself to one that looks for its cluster. */
@@ -63,3 +69,23 @@
   leader: string | null;
   entries: number;
 }
+
+/** Decides on a job that was queued. */
+export interface PlacedNotice {
+  id: string;
+  decision: EngineDecision;
+}
+
+/** Tells of a job that its entry process placed by itself, or under an earlier leader. */
+export interface AdoptNotice {
+  job: EngineJob;
+  upstream: string;
+  isWriting: boolean;
+}
+
+/** Tells of the progress or the end of a job. */
+export interface JobNotice {
+  id: string;
+  /** The upstream whose connection broke, if that ended the job. */
+  broken?: string;
+}
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -10,6 +10,7 @@
 import { Exchange } from './Exchange.js';
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { RequestTask } from './RequestTask.js';
+import { ScheduledPlacer } from './ScheduledPlacer.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
 import { View } from './View.js';
@@ -60,11 +61,7 @@
     this.task = new RequestTask({
       wire,
       health: this.health,
-      placer: new LeastLoadedPlacer({
-        view: this.view,
-        health: this.health,
-        dataCentre: settings.dataCentre,
-      }),
+      placer: this.createPlacer(),
       agent: new UpstreamAgent(),
       getBudget: (service) => this.getBudget(service),
       random: Math.random,
@@ -108,6 +105,19 @@
     this.options.logger.info({ seeds: settings.seeds }, 'settings reloaded');
   }
 
+  private createPlacer(): ScheduledPlacer {
+    const { view, health, links } = this;
+    const { dataCentre, vm } = this.options.settings;
+    return new ScheduledPlacer({
+      view,
+      mesh: links.mesh,
+      fallback: new LeastLoadedPlacer({ view, health, dataCentre }),
+      dataCentre,
+      vm,
+      logger: this.options.logger,
+    });
+  }
+
   private get isLeaving(): boolean {
     return this.endAt !== undefined;
   }
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -22,20 +22,24 @@
 
 /** Where a request goes, or why it goes nowhere. */
 export type Placement =
-  | { kind: 'placed'; upstream: UpstreamRecord; helpers: Helper[] }
+  | { kind: 'placed'; upstream: UpstreamRecord; helpers: Helper[]; jobId?: string }
   | { kind: 'refused'; reason: string; retryAfterMs: number };
 
 /** What is told of a placed request while it runs. */
 export interface Reservation {
   /** The first event or the answer has come. */
   addProgress(): void;
-  /** The request has ended at the upstream. */
-  release(): void;
+  /** The request has ended at the upstream, perhaps because its connection broke. */
+  release(isBroken: boolean): void;
 }
 
 /** Decides where requests go. */
 export interface Placer {
   place(request: PlacementRequest, signal: AbortSignal): Promise<Placement>;
   /** Counts a placed request until it is released. */
-  reserve(request: PlacementRequest, upstream: UpstreamRecord): Reservation;
+  reserve(
+    request: PlacementRequest,
+    upstream: UpstreamRecord,
+    jobId: string | undefined,
+  ): Reservation;
 }
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -198,15 +198,21 @@
     const request = getPlacementRequest(job);
     const placement = await placer.place(request, job.signal);
     if (placement.kind === 'refused') return placement;
-    if (job.signal.aborted) return { kind: 'notRun', reason: String(job.signal.reason) };
-    const { upstream, helpers } = placement;
-    const reservation = placer.reserve(request, upstream);
+    const { upstream, helpers, jobId } = placement;
+    const reservation = placer.reserve(request, upstream, jobId);
+    if (job.signal.aborted) {
+      reservation.release(false);
+      return { kind: 'notRun', reason: String(job.signal.reason) };
+    }
     job.excluded.add(upstream.id);
     job.sends += 1;
+    let isBroken = false;
     try {
-      return await this.callUpstream(job, upstream, helpers, reservation);
+      const outcome = await this.callUpstream(job, upstream, helpers, reservation);
+      isBroken = outcome.kind === 'unknown' && !job.signal.aborted;
+      return outcome;
     } finally {
-      reservation.release();
+      reservation.release(isBroken);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -0,0 +1,225 @@
+import type { UpstreamRecord } from '@azurecart/discovery';
+import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import type { Logger } from '@azurecart/telemetry';
+import type { Mesh } from '../control/Mesh.js';
+import { METHODS } from '../control/messages.js';
+import type { AdoptNotice, JobNotice, PlacedNotice } from '../control/messages.js';
+import type { Link, Notice } from '../links/index.js';
+import type { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
+import type { Placement, PlacementRequest, Placer, Reservation } from './Placement.js';
+import type { View } from './View.js';
+import type { Helper } from './Wire.js';
+
+/** What the placer needs. */
+export interface ScheduledPlacerOptions {
+  view: View;
+  mesh: Mesh;
+  /** Decides while no scheduler answers, and for services without engines. */
+  fallback: LeastLoadedPlacer;
+  dataCentre: string;
+  /** Name of this VM, which makes job ids unique. */
+  vm: string;
+  logger: Logger;
+}
+
+interface OwnJob extends AdoptNotice {
+  /** The link on which the scheduler knows the job. */
+  link: Link | undefined;
+}
+
+interface WaitingJob {
+  link: Link;
+  resolve: (decision: EngineDecision | undefined) => void;
+}
+
+/** Part of the objective after which a silent scheduler is not waited for. */
+const SILENCE_SHARE = 0.125;
+const MAX_SILENCE_MS = 250;
+/** Silence of a link in milliseconds after which its other side is not asked. */
+const SUSPECT_MS = 900;
+/** Milliseconds for which a scheduler that did not answer is not asked. */
+const PAUSE_MS = 400;
+const RETRY_AFTER_MS = 400;
+
+/** Lets the leading control process place prompts, and decides alone at once while it is silent. */
+export class ScheduledPlacer implements Placer {
+  private readonly jobs = new Map<string, OwnJob>();
+
+  private readonly waiting = new Map<string, WaitingJob>();
+
+  private readonly followed = new WeakSet<Link>();
+
+  private nextId = 1;
+
+  private pausedUntil = 0;
+
+  constructor(private readonly options: ScheduledPlacerOptions) {}
+
+  async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
+    const { view, fallback } = this.options;
+    const hasEngine = view.routing?.getService(request.service)?.engine !== undefined;
+    if (!hasEngine || request.promptTokens === 0) return fallback.place(request);
+    const link = this.getScheduler();
+    if (!link) return this.placeAlone(request);
+    const job = this.createJob(request);
+    const decision = await this.ask(link, job, signal);
+    if (!decision) return this.placeAlone(request);
+    if (decision.kind === 'refused')
+      return {
+        kind: 'refused',
+        reason: decision.reason,
+        retryAfterMs: decision.retryAfterMs,
+      };
+    if (decision.kind === 'queued')
+      return { kind: 'refused', reason: 'time is over', retryAfterMs: RETRY_AFTER_MS };
+    const upstream = view.table.getUpstream(decision.engine);
+    if (!upstream || upstream.state !== 'ready') {
+      this.tellRelease(link, { id: job.id });
+      return this.placeAlone(request);
+    }
+    this.jobs.set(job.id, { job, upstream: upstream.id, isWriting: false, link });
+    return { kind: 'placed', upstream, helpers: this.getHelpers(decision.helpers), jobId: job.id };
+  }
+
+  reserve(
+    request: PlacementRequest,
+    upstream: UpstreamRecord,
+    jobId: string | undefined,
+  ): Reservation {
+    const local = this.options.fallback.reserve(request, upstream);
+    if (jobId === undefined) return local;
+    return {
+      addProgress: () => this.addProgress(jobId),
+      release: (isBroken) => {
+        local.release(isBroken);
+        this.release(jobId, isBroken ? upstream.id : undefined);
+      },
+    };
+  }
+
+  /** Tells a scheduler that was just reached what runs here. */
+  introduce(link: Link): void {
+    this.follow(link);
+    for (const own of this.jobs.values()) {
+      const { job, upstream, isWriting } = own;
+      link.notify(METHODS.adopt, { job, upstream, isWriting });
+      own.link = link;
+    }
+  }
+
+  private async placeAlone(request: PlacementRequest): Promise<Placement> {
+    const placement = await this.options.fallback.place(request);
+    if (placement.kind !== 'placed') return placement;
+    const job = this.createJob(request);
+    const link = this.getScheduler();
+    const own: OwnJob = { job, upstream: placement.upstream.id, isWriting: false, link };
+    this.jobs.set(job.id, own);
+    link?.notify(METHODS.adopt, { job, upstream: own.upstream, isWriting: false });
+    return { ...placement, jobId: job.id };
+  }
+
+  /** Asks the scheduler; undefined when it does not answer or its link ends. */
+  private async ask(
+    link: Link,
+    job: EngineJob,
+    signal: AbortSignal,
+  ): Promise<EngineDecision | undefined> {
+    const silenceMs = Math.min(MAX_SILENCE_MS, job.objectiveMs * SILENCE_SHARE);
+    const later = this.waitFor(job.id, link, signal);
+    try {
+      const answer = (await link.call(METHODS.place, job, silenceMs)) as EngineDecision;
+      return answer.kind === 'queued' ? await later : answer;
+    } catch (error) {
+      this.pausedUntil = performance.now() + PAUSE_MS;
+      this.tellRelease(link, { id: job.id });
+      this.options.logger.warn({ err: error, request: job.id }, 'scheduler does not answer');
+      return undefined;
+    } finally {
+      this.waiting.delete(job.id);
+    }
+  }
+
+  private waitFor(
+    id: string,
+    link: Link,
+    signal: AbortSignal,
+  ): Promise<EngineDecision | undefined> {
+    return new Promise((resolve) => {
+      this.waiting.set(id, { link, resolve });
+      const onAbort = (): void => {
+        if (this.waiting.get(id)?.resolve === resolve) this.tellRelease(link, { id });
+        resolve({ kind: 'queued' });
+      };
+      if (signal.aborted) onAbort();
+      else signal.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+
+  private follow(link: Link): void {
+    if (this.followed.has(link)) return;
+    this.followed.add(link);
+    link.received.subscribe((notice) => this.take(notice));
+    link.ended.then(() => {
+      for (const waiting of this.waiting.values())
+        if (waiting.link === link) waiting.resolve(undefined);
+    });
+  }
+
+  private take({ method, body, link }: Notice): void {
+    if (method !== METHODS.placed) return;
+    const { id, decision } = body as PlacedNotice;
+    const waiting = this.waiting.get(id);
+    if (waiting) waiting.resolve(decision);
+    else if (decision.kind === 'placed') this.tellRelease(link, { id });
+  }
+
+  private getScheduler(): Link | undefined {
+    const { view, mesh } = this.options;
+    const { leader } = view.cluster.value;
+    if (!leader || performance.now() < this.pausedUntil) return undefined;
+    const link = mesh.getLink(leader).current;
+    if (!link || link.silence > SUSPECT_MS) return undefined;
+    if (!this.followed.has(link)) this.introduce(link);
+    return link;
+  }
+
+  private getHelpers(ids: string[]): Helper[] {
+    return ids.flatMap((id) => this.options.view.table.getUpstream(id) ?? []);
+  }
+
+  private addProgress(id: string): void {
+    const own = this.jobs.get(id);
+    if (!own) return;
+    own.isWriting = true;
+    own.link?.notify(METHODS.progress, { id });
+  }
+
+  private release(id: string, broken: string | undefined): void {
+    const own = this.jobs.get(id);
+    this.jobs.delete(id);
+    if (own?.link) this.tellRelease(own.link, broken === undefined ? { id } : { id, broken });
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- Reads well beside the other messages.
+  private tellRelease(link: Link, notice: JobNotice): void {
+    link.notify(METHODS.release, notice);
+  }
+
+  private createJob(request: PlacementRequest): EngineJob {
+    const { vm, dataCentre } = this.options;
+    const id = `${vm}/${this.nextId}`;
+    this.nextId += 1;
+    return {
+      id,
+      service: request.service,
+      dataCentre,
+      promptTokens: request.promptTokens,
+      priority: request.priority,
+      objectiveMs: request.route.objectiveMs,
+      pauseMs: request.route.pauseMs,
+      remainingMs: request.remainingMs,
+      waitedMs: request.waitedMs,
+      excluded: [...request.excluded],
+    };
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -0,0 +1,26 @@
+/** A prompt that is to be read and answered by an engine. */
+export interface EngineJob {
+  id: string;
+  service: string;
+  /** Data centre of the caller; a near engine is preferred among equal ones. */
+  dataCentre: string;
+  promptTokens: number;
+  /** Rank, 0 first. */
+  priority: number;
+  /** Milliseconds to the first event, from the arrival of the request. */
+  objectiveMs: number;
+  /** Longest pause in milliseconds between two events. */
+  pauseMs: number;
+  /** Milliseconds for which the client waits at most, from now. */
+  remainingMs: number;
+  /** Milliseconds since the request arrived. */
+  waitedMs: number;
+  /** Engines that the request has failed on. */
+  excluded: string[];
+}
+
+/** Where a job goes, or that it cannot be served. */
+export type EngineDecision =
+  | { kind: 'placed'; engine: string; helpers: string[] }
+  | { kind: 'queued' }
+  | { kind: 'refused'; retryAfterMs: number; reason: string };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,7 @@
 /** Decisions under load: admission, order, placement, and exact memory accounting. */
 export * from './admission/index.js';
 export * from './budget/index.js';
+export * from './engines/index.js';
 export * from './ledger/index.js';
 export * from './placement/index.js';
 export * from './queue/index.js';
