--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -42,9 +42,9 @@
 }
 
 const TIMINGS = {
-  heartbeatMs: 150,
-  electionTimeoutMs: 900,
-  rpcTimeoutMs: 700,
+  heartbeatMs: 120,
+  electionTimeoutMs: 600,
+  rpcTimeoutMs: 500,
   leaseShare: 0.8,
   memberSilenceMs: 1800,
 };
@@ -54,6 +54,8 @@
 const QUORUM_TIMEOUT_MS = 900;
 /** Milliseconds between exchanges of what was heard, and looks at the members. */
 const TICK_MS = 500;
+/** Milliseconds between two looks whether entry processes lack the configuration. */
+const PUSH_MS = 60;
 const SNAPSHOT_EVERY = 200;
 /** Silence of the leader in milliseconds up to which the configuration is given to entries. */
 const RECENT_MS = 1500;
@@ -138,6 +140,7 @@
       this.server.once('error', reject);
       this.server.listen(Number(port), host, resolve);
     });
+    this.runPushes().catch((error: unknown) => logger.error({ err: error }, 'pushes ended'));
     this.runUpkeep().catch((error: unknown) => logger.error({ err: error }, 'upkeep ended'));
     logger.info({ self: this.self, seeds: this.seeds }, 'control started');
   }
@@ -364,13 +367,20 @@
       this.mesh.retain([...this.seeds, ...this.getCluster().members]);
       this.table.sweep();
       this.shareHeard();
-      this.feed.pushConfiguration();
       const cluster = JSON.stringify(this.getCluster());
       if (cluster !== this.lastCluster) this.feed.pushCluster();
       this.lastCluster = cluster;
     }
   }
 
+  /** The configuration becomes recent with time alone, when a quorum is found again. */
+  private async runPushes(): Promise<void> {
+    while (!this.isStopped) {
+      await sleep(PUSH_MS);
+      this.feed.pushConfiguration();
+    }
+  }
+
   private shareHeard(): void {
     const records = [...this.heard].flatMap((id) => this.table.getUpstream(id) ?? []);
     this.heard = new Set();
