--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -42,8 +42,8 @@
 }
 
 const TIMINGS = {
-  heartbeatMs: 120,
-  electionTimeoutMs: 600,
+  heartbeatMs: 100,
+  electionTimeoutMs: 450,
   rpcTimeoutMs: 500,
   leaseShare: 0.8,
   memberSilenceMs: 1800,
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -73,6 +73,8 @@
 const RETRY_AFTER_MS = 300;
 /** Longest answer of an upstream that is held in memory, in bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Milliseconds after which a client may come back to a process that has just started. */
+const START_RETRY_AFTER_MS = 1200;
 /** Milliseconds after which a client may come back to another process. */
 const LEAVING_RETRY_AFTER_MS = 50;
 /** Milliseconds that a leaving process must have left to take a stream, or another request. */
@@ -103,7 +105,7 @@
     const terms = this.options.wire.readRequest(request.headers);
     if (!routing) {
       await discard(exchange);
-      exchange.reply(503, 'no configuration yet', RETRY_AFTER_MS);
+      exchange.reply(503, 'no configuration yet', START_RETRY_AFTER_MS);
       return;
     }
     const path = (request.url ?? '/').split('?')[0] ?? '/';
