--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,7 +25,7 @@
   plugins.typescriptEslint,
   ...configs.base.typescript,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       // One task for each connection is written straight down: it waits inside its loop.
       'no-await-in-loop': 'off',
@@ -40,6 +40,12 @@
       ],
       // Modules have named exports only, re-exported by a barrel for each folder.
       'import-x/prefer-default-export': 'off',
+      // Behaviour that varies is an interface with classes, and some of these need no state.
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': [
+        'error',
+        { ignoreClassesThatImplementAnInterface: true },
+      ],
       // The compiler resolves the `.js` of an import to its `.ts` source.
       'import-x/extensions': 'off',
       '@typescript-eslint/consistent-type-imports': 'error',
@@ -50,6 +56,21 @@
     [...product, '@connectrpc/*', 'node:http*'],
     'Embeddable packages import nothing of the product and no transport.',
   ),
+  forbid(
+    ['packages/discovery/src/**'],
+    ['@azurecart/*', 'node:*'],
+    'Discovery is soft state alone.',
+  ),
+  forbid(
+    ['packages/gateway/src/**'],
+    ['@azurecart/platform', ...product],
+    'The gateway knows neither the platform nor the other products.',
+  ),
+  forbid(
+    ['platform/src/**'],
+    ['@azurecart/consensus', '@azurecart/scheduling', '@azurecart/telemetry', ...product],
+    'The adapter translates and decides nothing.',
+  ),
   forbid(
     ['packages/protocol/src/**'],
     ['@azurecart/*', 'node:http*'],
--- a/packages/daemon/src/gateway/main.ts
+++ b/packages/daemon/src/gateway/main.ts
@@ -7,7 +7,7 @@
   PlatformControlProtocol,
   PlatformWire,
 } from '@azurecart/platform';
-import { createLogger } from '@azurecart/telemetry';
+import { BoundedOutput, createLogger } from '@azurecart/telemetry';
 import type { Logger } from '@azurecart/telemetry';
 
 /** A running role. */
@@ -40,10 +40,15 @@
     process.stdout.write(`${path}: settings of role ${settings.role} are good\n`);
     return;
   }
-  const logger = createLogger({ name: settings.role, vm: settings.vm, level: settings.logLevel });
+  const output = new BoundedOutput();
+  const { role: name, vm, logLevel: level } = settings;
+  const logger = createLogger({ name, vm, level, output });
   const role = createRole(settings, logger);
   const stop = (): void => {
-    role.stop().then(() => process.exit(0), fail);
+    role
+      .stop()
+      .then(() => output.flush())
+      .then(() => process.exit(0), fail);
   };
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
@@ -76,6 +81,8 @@
 }
 
 function fail(error: unknown): never {
-  process.stderr.write(`azurecart-gateway: ${error instanceof Error ? error.stack : String(error)}\n`);
+  process.stderr.write(
+    `azurecart-gateway: ${error instanceof Error ? error.stack : String(error)}\n`,
+  );
   process.exit(1);
 }
--- a/packages/gateway/src/control/Feed.ts
+++ b/packages/gateway/src/control/Feed.ts
@@ -93,7 +93,13 @@
 
   private pushConfigurationTo(subscriber: Subscriber): void {
     const { current } = this.options.state;
-    if (!current || !this.options.isRecent() || subscriber.kind !== 'entry' || subscriber.version >= current.version) return;
+    if (
+      !current ||
+      !this.options.isRecent() ||
+      subscriber.kind !== 'entry' ||
+      subscriber.version >= current.version
+    )
+      return;
     if (this.deflated?.version !== current.version)
       this.deflated = { version: current.version, bytes: deflateRawSync(current.document) };
     const { bytes: deflated } = this.deflated;
--- a/packages/gateway/src/control/Founding.ts
+++ b/packages/gateway/src/control/Founding.ts
@@ -43,7 +43,8 @@
   async run(): Promise<void> {
     const mayFound = await this.isFounder();
     while (!this.isStopped) {
-      if (!this.isMember() || this.isForsaken()) await this.findCluster(mayFound).catch(() => undefined);
+      if (!this.isMember() || this.isForsaken())
+        await this.findCluster(mayFound).catch(() => undefined);
       await sleep(RETRY_MS);
     }
   }
--- a/packages/gateway/src/control/createControlServer.ts
+++ b/packages/gateway/src/control/createControlServer.ts
@@ -40,10 +40,7 @@
     chunks.push(chunk);
   }
   const { method = 'GET', url = '/' } = request;
-  const reply = await protocol.handle(
-    { method, path: url, body: Buffer.concat(chunks) },
-    control,
-  );
+  const reply = await protocol.handle({ method, path: url, body: Buffer.concat(chunks) }, control);
   send(response, reply.status, reply.body);
 }
 
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -57,9 +57,7 @@
     const { view, settings } = this.options;
     link.received.subscribe(({ method, body }) => this.take(method, body));
     const subscription: Subscription = { kind: 'entry', vm: settings.vm, version: view.version };
-    link
-      .call(METHODS.subscribe, subscription, SUBSCRIBE_TIMEOUT_MS)
-      .catch(() => link.close());
+    link.call(METHODS.subscribe, subscription, SUBSCRIBE_TIMEOUT_MS).catch(() => link.close());
   }
 
   private take(method: string, body: unknown): void {
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -107,13 +107,12 @@
 
   private createPlacer(): ScheduledPlacer {
     const { view, health, links } = this;
-    const { dataCentre, vm } = this.options.settings;
+    const { dataCentre } = this.options.settings;
     return new ScheduledPlacer({
       view,
       mesh: links.mesh,
       fallback: new LeastLoadedPlacer({ view, health, dataCentre }),
       dataCentre,
-      vm,
       logger: this.options.logger,
     });
   }
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -17,8 +17,6 @@
   /** Decides while no scheduler answers, and for services without engines. */
   fallback: LeastLoadedPlacer;
   dataCentre: string;
-  /** Name of this VM, which makes job ids unique. */
-  vm: string;
   logger: Logger;
 }
 
@@ -74,7 +72,7 @@
       return { kind: 'refused', reason: 'time is over', retryAfterMs: RETRY_AFTER_MS };
     const upstream = view.table.getUpstream(decision.engine);
     if (!upstream || upstream.state !== 'ready') {
-      this.tellRelease(link, { id: job.id });
+      tellRelease(link, { id: job.id });
       return this.placeAlone(request);
     }
     this.jobs.set(job.id, { job, upstream: upstream.id, isWriting: false, link });
@@ -131,7 +129,7 @@
       return answer.kind === 'queued' ? await later : answer;
     } catch (error) {
       this.pausedUntil = performance.now() + PAUSE_MS;
-      this.tellRelease(link, { id: job.id });
+      tellRelease(link, { id: job.id });
       this.options.logger.warn({ err: error, request: job.id }, 'scheduler does not answer');
       return undefined;
     } finally {
@@ -147,7 +145,7 @@
     return new Promise((resolve) => {
       this.waiting.set(id, { link, resolve });
       const onAbort = (): void => {
-        if (this.waiting.get(id)?.resolve === resolve) this.tellRelease(link, { id });
+        if (this.waiting.get(id)?.resolve === resolve) tellRelease(link, { id });
         resolve({ kind: 'queued' });
       };
       if (signal.aborted) onAbort();
@@ -170,7 +168,7 @@
     const { id, decision } = body as PlacedNotice;
     const waiting = this.waiting.get(id);
     if (waiting) waiting.resolve(decision);
-    else if (decision.kind === 'placed') this.tellRelease(link, { id });
+    else if (decision.kind === 'placed') tellRelease(link, { id });
   }
 
   private getScheduler(): Link | undefined {
@@ -197,17 +195,12 @@
   private release(id: string, broken: string | undefined): void {
     const own = this.jobs.get(id);
     this.jobs.delete(id);
-    if (own?.link) this.tellRelease(own.link, broken === undefined ? { id } : { id, broken });
-  }
-
-  // eslint-disable-next-line class-methods-use-this -- Reads well beside the other messages.
-  private tellRelease(link: Link, notice: JobNotice): void {
-    link.notify(METHODS.release, notice);
+    if (own?.link) tellRelease(own.link, broken === undefined ? { id } : { id, broken });
   }
 
   private createJob(request: PlacementRequest): EngineJob {
-    const { vm, dataCentre } = this.options;
-    const id = `${vm}/${this.nextId}`;
+    const { dataCentre } = this.options;
+    const id = `${request.requestId}#${this.nextId}`;
     this.nextId += 1;
     return {
       id,
@@ -223,3 +216,7 @@
     };
   }
 }
+
+function tellRelease(link: Link, notice: JobNotice): void {
+  link.notify(METHODS.release, notice);
+}
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -70,8 +70,7 @@
     const wanted = new Set(engines.map((engine) => engine.id));
     for (const id of this.loads.keys()) if (!wanted.has(id)) this.loads.delete(id);
     for (const engine of engines) {
-      if (!this.loads.has(engine.id))
-        this.loads.set(engine.id, new EngineLoad(engine, this.model));
+      if (!this.loads.has(engine.id)) this.loads.set(engine.id, new EngineLoad(engine, this.model));
     }
     this.decideQueued();
   }
@@ -144,9 +143,9 @@
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
     const choice = isHeavy
       ? this.chooseForHeavy(job, candidates, readMs, now)
-      : this.chooseForLight(job, candidates, readMs, slackMs, now);
-    if (choice && (choice.isClear || !this.mayWait(isHeavy, slackMs, readMs, deadlineAt - now)))
-      return this.assign(job, choice.load, choice.helpers, readMs, now);
+      : chooseForLight(job, candidates, readMs, slackMs, now);
+    if (choice && (choice.isClear || !mayWait(isHeavy, slackMs, readMs, deadlineAt - now)))
+      return assign(job, choice.load, choice.helpers, readMs, now);
     if (deadlineAt - now < readMs / (MAX_HELPERS + 1) + WRITE_MS)
       return this.refuse('the time left is too short');
     if (isHeavy && this.isHopeless(readMs, deadlineAt - now, now))
@@ -154,18 +153,6 @@
     return { kind: 'queued' };
   }
 
-  /** A long prompt waits for a clear engine as long as it can still be read in time. */
-  private mayWait(
-    isHeavy: boolean,
-    slackMs: number,
-    readMs: number,
-    remainingMs: number,
-  ): boolean {
-    if (!isHeavy) return false;
-    const fastest = Math.min(readMs, Math.max(readMs / (MAX_HELPERS + 1), slackMs * READ_SHARE));
-    return slackMs - fastest > 0 || remainingMs > readMs + WRITE_MS;
-  }
-
   private getCandidates(job: EngineJob, now: number): EngineLoad[] {
     const usable = [...this.loads.values()].filter(
       ({ engine }) => !job.excluded.includes(engine.id),
@@ -177,28 +164,6 @@
     );
   }
 
-  private chooseForLight(
-    job: EngineJob,
-    candidates: EngineLoad[],
-    readMs: number,
-    slackMs: number,
-    now: number,
-  ): Choice | undefined {
-    const cost = (load: EngineLoad): number => {
-      const isLate = load.getFirstEventMs(readMs, now) > slackMs;
-      const light = load.getLightCount(HEAVY_READ_MS);
-      const crowd = Math.max(0, light - LIGHT_TARGET) * CROWD_COST;
-      const empty = load.size === 0 ? OPEN_COST : 0;
-      const fill = (1 - Math.min(light, LIGHT_TARGET) / LIGHT_TARGET) * OPEN_COST;
-      const delay = load.getFirstEventMs(readMs, now) / job.objectiveMs;
-      const distance = load.engine.dataCentre === job.dataCentre ? 0 : DISTANCE_COST;
-      const own = isLate ? 1 + delay : delay * OPEN_COST;
-      return own + load.getHarm(readMs, now) + crowd + empty + fill + distance;
-    };
-    const best = getLeast(candidates, cost);
-    return best && { load: best, helpers: [], isClear: true };
-  }
-
   private chooseForHeavy(
     job: EngineJob,
     candidates: EngineLoad[],
@@ -207,7 +172,7 @@
   ): Choice | undefined {
     const clear = candidates.filter((load) => load.size === 0);
     const near = getLeast(clear, ({ engine }) => Number(engine.dataCentre !== job.dataCentre));
-    if (near) return { load: near, helpers: this.getHelpers(job, near, clear, readMs), isClear: true };
+    if (near) return { load: near, helpers: getHelpers(job, near, clear, readMs), isClear: true };
     const cost = (load: EngineLoad): number => {
       const firstMs = load.getFirstEventMs(readMs, now);
       const isLate = firstMs > job.objectiveMs * OBJECTIVE_SHARE;
@@ -223,36 +188,6 @@
     return { load: best, helpers: [], isClear };
   }
 
-  private getHelpers(
-    job: EngineJob,
-    first: EngineLoad,
-    clear: EngineLoad[],
-    readMs: number,
-  ): EngineLoad[] {
-    const parts = Math.ceil(readMs / (job.objectiveMs * READ_SHARE));
-    return clear
-      .filter((load) => load !== first && load.engine.dataCentre === first.engine.dataCentre)
-      .slice(0, Math.min(MAX_HELPERS, parts - 1));
-  }
-
-  private assign(
-    job: EngineJob,
-    load: EngineLoad,
-    helpers: EngineLoad[],
-    readMs: number,
-    now: number,
-  ): EngineDecision {
-    const part = readMs / (helpers.length + 1);
-    load.add(job, part, now);
-    const help = { ...job, id: getHelpId(job.id) };
-    helpers.forEach((helper) => helper.add(help, part, now, true));
-    return {
-      kind: 'placed',
-      engine: load.engine.id,
-      helpers: helpers.map(({ engine }) => engine.id),
-    };
-  }
-
   /** True when the long prompts ahead leave no time for this one on the engines there are. */
   private isHopeless(readMs: number, remainingMs: number, now: number): boolean {
     const heavy = [...this.loads.values()].filter(
@@ -282,6 +217,65 @@
   isClear: boolean;
 }
 
+/** A long prompt waits for a clear engine as long as it can still be read in time. */
+function mayWait(isHeavy: boolean, slackMs: number, readMs: number, remainingMs: number): boolean {
+  if (!isHeavy) return false;
+  const fastest = Math.min(readMs, Math.max(readMs / (MAX_HELPERS + 1), slackMs * READ_SHARE));
+  return slackMs - fastest > 0 || remainingMs > readMs + WRITE_MS;
+}
+
+function chooseForLight(
+  job: EngineJob,
+  candidates: EngineLoad[],
+  readMs: number,
+  slackMs: number,
+  now: number,
+): Choice | undefined {
+  const cost = (load: EngineLoad): number => {
+    const isLate = load.getFirstEventMs(readMs, now) > slackMs;
+    const light = load.getLightCount(HEAVY_READ_MS);
+    const crowd = Math.max(0, light - LIGHT_TARGET) * CROWD_COST;
+    const empty = load.size === 0 ? OPEN_COST : 0;
+    const fill = (1 - Math.min(light, LIGHT_TARGET) / LIGHT_TARGET) * OPEN_COST;
+    const delay = load.getFirstEventMs(readMs, now) / job.objectiveMs;
+    const distance = load.engine.dataCentre === job.dataCentre ? 0 : DISTANCE_COST;
+    const own = isLate ? 1 + delay : delay * OPEN_COST;
+    return own + load.getHarm(readMs, now) + crowd + empty + fill + distance;
+  };
+  const best = getLeast(candidates, cost);
+  return best && { load: best, helpers: [], isClear: true };
+}
+
+function getHelpers(
+  job: EngineJob,
+  first: EngineLoad,
+  clear: EngineLoad[],
+  readMs: number,
+): EngineLoad[] {
+  const parts = Math.ceil(readMs / (job.objectiveMs * READ_SHARE));
+  return clear
+    .filter((load) => load !== first && load.engine.dataCentre === first.engine.dataCentre)
+    .slice(0, Math.min(MAX_HELPERS, parts - 1));
+}
+
+function assign(
+  job: EngineJob,
+  load: EngineLoad,
+  helpers: EngineLoad[],
+  readMs: number,
+  now: number,
+): EngineDecision {
+  const part = readMs / (helpers.length + 1);
+  load.add(job, part, now);
+  const help = { ...job, id: getHelpId(job.id) };
+  helpers.forEach((helper) => helper.add(help, part, now, true));
+  return {
+    kind: 'placed',
+    engine: load.engine.id,
+    helpers: helpers.map(({ engine }) => engine.id),
+  };
+}
+
 function getHelpId(id: string): string {
   return `${id}/help`;
 }
--- a/packages/telemetry/src/log/createLogger.ts
+++ b/packages/telemetry/src/log/createLogger.ts
@@ -8,6 +8,8 @@
   name: string;
   vm: string;
   level?: bunyan.LogLevelString;
+  /** Takes the lines; by default they are written to standard output as they come. */
+  output?: { write(line: string): void };
 }
 
 /** Creates the logger of a process; it writes JSON lines to standard output. */
@@ -15,7 +17,12 @@
   return bunyan.createLogger({
     name: options.name,
     vm: options.vm,
-    level: options.level ?? 'info',
+    streams: [
+      {
+        level: options.level ?? 'info',
+        stream: (options.output ?? process.stdout) as NodeJS.WritableStream,
+      },
+    ],
     serializers: { err: bunyan.stdSerializers.err },
   });
 }
--- a/packages/telemetry/src/log/index.ts
+++ b/packages/telemetry/src/log/index.ts
@@ -1,2 +1,3 @@
 /** Logging. */
+export * from './BoundedOutput.js';
 export * from './createLogger.js';
