--- a/packages/consensus/tests/replica/Cluster.ts
+++ b/packages/consensus/tests/replica/Cluster.ts
@@ -154,7 +154,6 @@
     });
   }
 
-  // eslint-disable-next-line class-methods-use-this -- Reads well beside the other steps.
   async waitFor(condition: () => Promise<boolean> | boolean): Promise<void> {
     const endAt = performance.now() + WAIT_MS;
     while (performance.now() < endAt) {
@@ -164,7 +163,6 @@
     throw new Error('waited too long');
   }
 
-  // eslint-disable-next-line class-methods-use-this -- Part of the fake network.
   private async loseMessage(): Promise<never> {
     await sleep(POLL_MS);
     throw new Error('no answer');
--- a/packages/daemon/src/control/ControlServices.ts
+++ b/packages/daemon/src/control/ControlServices.ts
@@ -180,7 +180,7 @@
     if (!replica.hasLease()) throw toConnectError(new NotLeader(getOther(replica)));
   }
 
-  // eslint-disable-next-line class-methods-use-this -- Turns errors for all calls alike.
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- Turns errors for all calls alike.
   private async attempt<T>(operation: () => Promise<T>): Promise<T> {
     try {
       return await operation();
--- a/packages/daemon/src/control/RpcPeer.ts
+++ b/packages/daemon/src/control/RpcPeer.ts
@@ -63,7 +63,6 @@
     return { term: Number(answer.term) };
   }
 
-  // eslint-disable-next-line class-methods-use-this -- Connections are shared between peers.
   close(): void {}
 
   private async attempt<T>(
--- a/packages/daemon/src/entry/clients/ServiceHandler.ts
+++ b/packages/daemon/src/entry/clients/ServiceHandler.ts
@@ -53,7 +53,7 @@
   constructor(private readonly options: ServiceHandlerOptions) {}
 
   /** Gets the service whose prefix a path has; undefined when there is none. */
-  // eslint-disable-next-line class-methods-use-this -- Part of the handler's routing.
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- Part of the handler's routing.
   getService(path: string, release: Release): Service | undefined {
     return release.services.find(({ prefix }) => path === prefix || path.startsWith(`${prefix}/`));
   }
--- a/packages/daemon/src/secrets/Secret.ts
+++ b/packages/daemon/src/secrets/Secret.ts
@@ -27,7 +27,7 @@
     return timingSafeEqual(hash(token), this.digest);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- Masks the value whatever it is.
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this -- Masks the value whatever it is.
   toJSON(): string {
     return '[secret]';
   }
--- /dev/null
+++ b/packages/gateway/src/entry/AttemptOutcome.ts
@@ -0,0 +1,19 @@
+/** A whole answer of an upstream. */
+export interface WholeAnswer {
+  status: number;
+  headers: [string, string][];
+  body: Buffer;
+}
+
+/** How one attempt at one upstream ended. */
+export type AttemptOutcome =
+  /** The client has the whole answer. */
+  | { kind: 'done' }
+  /** The upstream certainly did not run the request. */
+  | { kind: 'notRun'; reason: string }
+  /** The upstream ran it and answered with a failure of its own. */
+  | { kind: 'failed'; reason: string; answer: WholeAnswer }
+  /** It may have run, in part or whole. */
+  | { kind: 'unknown'; reason: string }
+  /** No upstream was tried. */
+  | { kind: 'refused'; reason: string; retryAfterMs: number };
--- /dev/null
+++ b/packages/gateway/src/entry/BodyTooLong.ts
@@ -0,0 +1,4 @@
+/** The body is longer than allowed. */
+export class BodyTooLong extends Error {
+  override readonly name = 'BodyTooLong';
+}
--- /dev/null
+++ b/packages/gateway/src/entry/ClientGone.ts
@@ -0,0 +1,4 @@
+/** The client has gone. */
+export class ClientGone extends Error {
+  override readonly name = 'ClientGone';
+}
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings } from '../settings/index.js';
 import { UpstreamAgent } from '../upstreams/index.js';
 import { ControlLinks } from './ControlLinks.js';
+import { EntryMetrics } from './EntryMetrics.js';
 import { Exchange } from './Exchange.js';
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { RequestTask } from './RequestTask.js';
@@ -63,6 +64,7 @@
       health: this.health,
       placer: this.createPlacer(),
       agent: new UpstreamAgent(),
+      metrics: new EntryMetrics(this.registry, this.view, () => this.open),
       getBudget: (service) => this.getBudget(service),
       random: Math.random,
       getTimeToLive: () => this.getTimeToLive(),
--- a/packages/gateway/src/entry/Exchange.ts
+++ b/packages/gateway/src/entry/Exchange.ts
@@ -1,14 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-
-/** The client has gone. */
-export class ClientGone extends Error {
-  override readonly name = 'ClientGone';
-}
-
-/** The body is longer than allowed. */
-export class BodyTooLong extends Error {
-  override readonly name = 'BodyTooLong';
-}
+import { BodyTooLong } from './BodyTooLong.js';
+import { ClientGone } from './ClientGone.js';
 
 /** Seconds with which `retry-after` tells milliseconds. */
 const MS_PER_SECOND = 1000;
--- a/packages/gateway/src/links/Link.ts
+++ b/packages/gateway/src/links/Link.ts
@@ -55,13 +55,15 @@
   /** Resolves when the link has ended. */
   readonly ended: Promise<void>;
 
-  private resolveEnded: () => void = () => undefined;
+  private readonly end: () => void;
 
   constructor(private readonly options: LinkOptions) {
     const { socket } = options;
+    let end: () => void = () => undefined;
     this.ended = new Promise((resolve) => {
-      this.resolveEnded = resolve;
+      end = resolve;
     });
+    this.end = end;
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', () => this.close());
@@ -122,7 +124,7 @@
     }
     this.pending.clear();
     this.notices.complete();
-    this.resolveEnded();
+    this.end();
   }
 
   private send(frame: Frame): void {
--- /dev/null
+++ b/packages/gateway/src/settings/SettingsFault.ts
@@ -0,0 +1,4 @@
+/** The settings file cannot be used. */
+export class SettingsFault extends Error {
+  override readonly name = 'SettingsFault';
+}
--- a/packages/gateway/src/settings/SettingsFile.ts
+++ b/packages/gateway/src/settings/SettingsFile.ts
@@ -4,11 +4,7 @@
 import type { Logger } from '@azurecart/telemetry';
 import { gatewaySettingsSchema } from './GatewaySettings.js';
 import type { GatewaySettings } from './GatewaySettings.js';
-
-/** The settings file cannot be used. */
-export class SettingsFault extends Error {
-  override readonly name = 'SettingsFault';
-}
+import { SettingsFault } from './SettingsFault.js';
 
 /** Milliseconds between two looks at the file's time of change. */
 const POLL_MS = 1000;
@@ -37,21 +33,23 @@
 
   /** Looks for changes until stopped. */
   watch(logger: Logger): void {
-    const check = (): void => {
-      this.check().catch((error: unknown) => logger.warn({ err: error }, 'settings not reloaded'));
+    const check = (isForced: boolean): void => {
+      this.check(isForced).catch((error: unknown) =>
+        logger.warn({ err: error }, 'settings not reloaded'),
+      );
     };
-    this.timer = setInterval(check, POLL_MS);
+    this.timer = setInterval(() => check(false), POLL_MS);
     this.timer.unref();
-    process.on('SIGHUP', check);
+    process.on('SIGHUP', () => check(true));
   }
 
   stop(): void {
     clearInterval(this.timer);
   }
 
-  private async check(): Promise<void> {
+  private async check(isForced: boolean): Promise<void> {
     const { mtimeMs } = await stat(this.path);
-    if (mtimeMs === this.changedAt) return;
+    if (!isForced && mtimeMs === this.changedAt) return;
     const { text } = this;
     const settings = await this.load();
     if (this.text !== text) this.changes.next(settings);
--- a/packages/gateway/src/settings/index.ts
+++ b/packages/gateway/src/settings/index.ts
@@ -1,3 +1,4 @@
 /** Settings of the gateway's processes. */
 export * from './GatewaySettings.js';
 export * from './SettingsFile.js';
+export * from './SettingsFault.js';
--- a/packages/gateway/src/upstreams/UpstreamCall.ts
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -1,19 +1,7 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { UpstreamAgent } from './UpstreamAgent.js';
-
-/** Why a call ended without an answer. */
-export class UpstreamFault extends Error {
-  override readonly name = 'UpstreamFault';
-
-  /** @param isNotRun - True when the request certainly did not reach the upstream. */
-  constructor(
-    message: string,
-    readonly isNotRun: boolean,
-  ) {
-    super(message);
-  }
-}
+import { UpstreamFault } from './UpstreamFault.js';
 
 /** A request to an upstream. */
 export interface UpstreamCallOptions {
--- a/packages/gateway/src/upstreams/index.ts
+++ b/packages/gateway/src/upstreams/index.ts
@@ -4,3 +4,4 @@
 export * from './hopHeaders.js';
 export * from './UpstreamAgent.js';
 export * from './UpstreamCall.js';
+export * from './UpstreamFault.js';
--- a/packages/scheduling/src/admission/OpenAdmission.ts
+++ b/packages/scheduling/src/admission/OpenAdmission.ts
@@ -5,13 +5,11 @@
 
 /** Baseline: admits until the queue is full. */
 export class OpenAdmission implements Admission {
-  // eslint-disable-next-line class-methods-use-this -- The baseline needs no state.
   getRefusal({ queue }: AdmissionRequest): Refusal | undefined {
     if (queue.size < QUEUE_LIMIT) return undefined;
     return { reason: 'queue-full', retryAfterMs: 1000 };
   }
 
-  // eslint-disable-next-line class-methods-use-this -- The baseline needs no state.
   getWaitMs({ work, queue, ledger }: AdmissionRequest): number {
     return getDrainMs(queue.getAll(), ledger.getServing(work.model));
   }
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -142,7 +142,7 @@
     const candidates = this.getCandidates(job, now);
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
     const choice = isHeavy
-      ? this.chooseForHeavy(job, candidates, readMs, now)
+      ? chooseForHeavy(job, candidates, readMs, now)
       : chooseForLight(job, candidates, readMs, slackMs, now);
     if (choice && (choice.isClear || !mayWait(isHeavy, slackMs, readMs, deadlineAt - now)))
       return assign(job, choice.load, choice.helpers, readMs, now);
@@ -164,30 +164,6 @@
     );
   }
 
-  private chooseForHeavy(
-    job: EngineJob,
-    candidates: EngineLoad[],
-    readMs: number,
-    now: number,
-  ): Choice | undefined {
-    const clear = candidates.filter((load) => load.size === 0);
-    const near = getLeast(clear, ({ engine }) => Number(engine.dataCentre !== job.dataCentre));
-    if (near) return { load: near, helpers: getHelpers(job, near, clear, readMs), isClear: true };
-    const cost = (load: EngineLoad): number => {
-      const firstMs = load.getFirstEventMs(readMs, now);
-      const isLate = firstMs > job.objectiveMs * OBJECTIVE_SHARE;
-      return load.getHarm(readMs, now) + (isLate ? getWeight(readMs) : firstMs / job.objectiveMs);
-    };
-    const best = getLeast(candidates, cost);
-    if (!best) return undefined;
-    const firstMs = best.getFirstEventMs(readMs, now);
-    const isClear =
-      best.getHarm(readMs, now) === 0 &&
-      best.getLightCount(HEAVY_READ_MS) === 0 &&
-      firstMs < job.objectiveMs * OBJECTIVE_SHARE;
-    return { load: best, helpers: [], isClear };
-  }
-
   /** True when the long prompts ahead leave no time for this one on the engines there are. */
   private isHopeless(readMs: number, remainingMs: number, now: number): boolean {
     const heavy = [...this.loads.values()].filter(
@@ -276,6 +252,30 @@
   };
 }
 
+function chooseForHeavy(
+  job: EngineJob,
+  candidates: EngineLoad[],
+  readMs: number,
+  now: number,
+): Choice | undefined {
+  const clear = candidates.filter((load) => load.size === 0);
+  const near = getLeast(clear, ({ engine }) => Number(engine.dataCentre !== job.dataCentre));
+  if (near) return { load: near, helpers: getHelpers(job, near, clear, readMs), isClear: true };
+  const cost = (load: EngineLoad): number => {
+    const firstMs = load.getFirstEventMs(readMs, now);
+    const isLate = firstMs > job.objectiveMs * OBJECTIVE_SHARE;
+    return load.getHarm(readMs, now) + (isLate ? getWeight(readMs) : firstMs / job.objectiveMs);
+  };
+  const best = getLeast(candidates, cost);
+  if (!best) return undefined;
+  const firstMs = best.getFirstEventMs(readMs, now);
+  const isClear =
+    best.getHarm(readMs, now) === 0 &&
+    best.getLightCount(HEAVY_READ_MS) === 0 &&
+    firstMs < job.objectiveMs * OBJECTIVE_SHARE;
+  return { load: best, helpers: [], isClear };
+}
+
 function getHelpId(id: string): string {
   return `${id}/help`;
 }
--- a/packages/scheduling/src/placement/LeastLoadedPlacement.ts
+++ b/packages/scheduling/src/placement/LeastLoadedPlacement.ts
@@ -5,7 +5,6 @@
 
 /** Baseline: the engine with the fewest running requests that has the memory. */
 export class LeastLoadedPlacement implements Placement {
-  // eslint-disable-next-line class-methods-use-this -- The baseline needs no state.
   findPlace({ work, ledger }: PlacementRequest): Place | undefined {
     const tokens = getMemoryTokens(work);
     const engines = ledger.getServing(work.model);
--- a/packages/scheduling/src/queue/FifoQueue.ts
+++ b/packages/scheduling/src/queue/FifoQueue.ts
@@ -34,7 +34,6 @@
     this.works.delete(work.id);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- The baseline knows no priorities.
   getShareAbove(): number {
     return 0;
   }
