--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -157,6 +157,12 @@
     this.mesh.stop();
   }
 
+  /** True while this process takes part in quorums. */
+  get isVoter(): boolean {
+    const { replica } = this;
+    return replica?.getMembers().some(({ id, voter }) => voter && id === replica.id) ?? false;
+  }
+
   /** Adopts changed settings. */
   reload(settings: ControlSettings): void {
     this.seeds = getLinkAddresses(settings);
--- a/packages/gateway/src/control/Mesh.ts
+++ b/packages/gateway/src/control/Mesh.ts
@@ -1,5 +1,5 @@
 import type { CallHandler, Link } from '../links/index.js';
-import { OutboundLink } from '../links/index.js';
+import { LinkFault, OutboundLink } from '../links/index.js';
 
 /** What a mesh needs. */
 export interface MeshOptions {
@@ -13,10 +13,16 @@
 export class Mesh {
   private readonly links = new Map<string, OutboundLink>();
 
+  private isStopped = false;
+
   constructor(private readonly options: MeshOptions) {}
 
-  /** Gets the link to an address and opens it when there is none. */
+  /**
+   * Gets the link to an address and opens it when there is none.
+   * @throws LinkFault when the mesh has stopped.
+   */
   getLink(address: string): OutboundLink {
+    if (this.isStopped) throw new LinkFault('the mesh has stopped');
     const known = this.links.get(address);
     if (known) return known;
     const [host = '', port = '0'] = address.split(':');
@@ -33,6 +39,7 @@
 
   /** Opens links to addresses and closes those to others. */
   retain(addresses: string[]): void {
+    if (this.isStopped) return;
     const wanted = new Set(addresses.filter((address) => address !== this.options.self));
     wanted.forEach((address) => this.getLink(address));
     for (const [address, link] of this.links) {
@@ -53,6 +60,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     this.links.forEach((link) => link.stop());
   }
 }
