Accept the first configuration only with all voters

Cause: with four of five voters formed, a quorum of three acknowledged the first configuration; two disks lost at that moment left two of four voters and no quorum. Change: the first configuration needs 2f+1 voters.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -235,13 +235,20 @@
     const { replica } = this;
     if (!replica) throw new NotLeader(undefined);
     const voters = replica.getMembers().filter((member) => member.voter).length;
-    const quorum = Math.floor(voters / 2) + 1;
-    const { toleratedLosses } = this.options.settings;
-    if (quorum <= toleratedLosses)
-      throw new Error(`a quorum of ${quorum} may be lost with ${toleratedLosses} VMs`);
+    const needed = this.getNeededVoters();
+    if (voters < needed) throw new Error(`${voters} voters are too few, ${needed} are needed`);
     await replica.propose(encodeProposal(proposed));
   }
 
+  /**
+   * A quorum must outnumber the losses that are tolerated. While the cluster forms, it must also be
+   * left with a quorum after them; later it lacks a voter only for the moments of a replacement.
+   */
+  private getNeededVoters(): number {
+    const { toleratedLosses } = this.options.settings;
+    return this.state.current ? 2 * toleratedLosses : 2 * toleratedLosses + 1;
+  }
+
   private async callLeader(method: string, body: unknown): Promise<unknown> {
     const leader = this.replica?.getLeaderAddress();
     if (!leader || leader === this.self) throw new NotLeader(leader);
