Forget placements when leadership changes; test membership of the log

Cause: entry processes tell the end of a job to the leader that they know; one that had led before kept its jobs for ever, and its engines looked busy when it led again. Found by reading.

--- a/packages/consensus/tests/replica/Cluster.ts
+++ b/packages/consensus/tests/replica/Cluster.ts
@@ -20,6 +20,11 @@
 export class Cluster implements PeerNetwork {
   readonly nodes = new Map<string, Node>();
 
+  /** Voters beyond which newcomers stay learners. */
+  targetVoters = Infinity;
+
+  memberSilenceMs = 2000;
+
   private delayMs = 0;
 
   private readonly cuts = new Set<string>();
@@ -61,7 +66,13 @@
       storage: new FileStorage(disk),
       machine,
       network: new Cluster(name, this),
-      timings: { electionTimeoutMs: 150, heartbeatMs: 30, rpcTimeoutMs: 100 },
+      timings: {
+        electionTimeoutMs: 150,
+        heartbeatMs: 30,
+        rpcTimeoutMs: 100,
+        memberSilenceMs: this.memberSilenceMs,
+      },
+      targetVoters: this.targetVoters,
       snapshotEvery: this.snapshotEvery,
       onEvent: (event) => events.push(event),
     });
--- a/packages/consensus/tests/replica/Replica.test.ts
+++ b/packages/consensus/tests/replica/Replica.test.ts
@@ -6,6 +6,9 @@
 import { Cluster } from './Cluster.js';
 import type { Node } from './Cluster.js';
 
+/** Longer than the silence after which a learner counts as gone. */
+const LATE_JOIN_MS = 2200;
+
 async function withThree(
   run: (cluster: Cluster, nodes: [Node, Node, Node]) => Promise<void>,
   snapshotEvery?: number,
@@ -173,6 +176,82 @@
     assert.equal(leader.replica.getMembers().length, 2);
   }));
 
+test('a member that joins long after the election stays a member', () =>
+  withThree(async (cluster) => {
+    const leader = await cluster.getLeader();
+    await sleep(LATE_JOIN_MS);
+    await cluster.join('d');
+    const removals = leader.events.filter(
+      (event) => event.kind === 'members' && event.ids.length < 4,
+    );
+    assert.ok(removals.length <= 5, 'the newcomer was removed');
+  }));
+
+test('a member that was removed and added again is replicated to', () =>
+  withThree(async (cluster) => {
+    const leader = await cluster.getLeader();
+    const other = [...cluster.nodes.values()].find((node) => node !== leader);
+    const id = other?.replica.id ?? '';
+    await leader.replica.removeMember(id);
+    await cluster.waitFor(() => leader.replica.getMembers().length === 2);
+    const name = other?.name ?? '';
+    leader.replica.addMember({ id, name, address: name });
+    await cluster.waitFor(() =>
+      leader.replica.getMembers().some((member) => member.id === id && member.voter),
+    );
+    await cluster.add('after');
+    await cluster.waitFor(() => other?.machine.texts.includes('after') ?? false);
+  }));
+
+test('beyond the target a newcomer stays a learner until a voter falls silent', async () => {
+  const cluster = new Cluster();
+  cluster.targetVoters = 3;
+  cluster.memberSilenceMs = 400;
+  try {
+    await cluster.startThree();
+    const leader = await cluster.getLeader();
+    const spare = await cluster.start('d');
+    const isVoter = (): boolean | undefined =>
+      leader.replica.getMembers().find(({ id }) => id === spare.replica.id)?.voter;
+    await cluster.waitFor(() => {
+      leader.replica.addMember({ id: spare.replica.id, name: 'd', address: 'd' });
+      return isVoter() !== undefined;
+    });
+    await sleep(200);
+    assert.equal(isVoter(), false);
+    const silent = [...cluster.nodes.values()].find((node) => node !== leader && node !== spare);
+    await cluster.stop(silent?.name ?? '');
+    await cluster.waitFor(() => isVoter() === true);
+    assert.equal(leader.replica.getMembers().length, 3);
+  } finally {
+    await cluster.stopAll();
+  }
+});
+
+test('an isolated leader confirms no read', () =>
+  withThree(async (cluster) => {
+    const leader = await cluster.getLeader();
+    assert.equal(await leader.replica.confirmRead(1000), true);
+    cluster.isolate(leader.name);
+    assert.equal(await leader.replica.confirmRead(100), false);
+    assert.equal(await leader.replica.confirmRead(1000), false);
+  }));
+
+test('what a replica has loaded at its start is not recent until a leader is heard', () =>
+  withThree(async (cluster) => {
+    await cluster.add('x');
+    const leader = await cluster.getLeader();
+    const follower = [...cluster.nodes.values()].find((node) => node !== leader);
+    const name = follower?.name ?? '';
+    await cluster.waitFor(() => follower?.replica.isRecent(1000) ?? false);
+    const stopped = await cluster.stop(name);
+    for (const other of cluster.nodes.keys()) cluster.cut(other, name);
+    const back = await cluster.start(name, stopped.disk, stopped.replica.id);
+    assert.equal(back.replica.isRecent(10_000), false);
+    cluster.heal();
+    await cluster.waitFor(() => back.replica.isRecent(1000));
+  }));
+
 test('a new leader stays when the first answers take a while', () =>
   withThree(async (cluster) => {
     cluster.slowDown(40);
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -358,7 +358,10 @@
 
   private onReplicaEvent(event: ReplicaEvent): void {
     this.options.logger.info(event, 'replica');
-    if (event.kind === 'role') this.feed.pushCluster();
+    if (event.kind === 'role') {
+      this.placement.reset();
+      this.feed.pushCluster();
+    }
     if (event.kind === 'fatal') this.reopen().catch(() => undefined);
   }
 
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -45,6 +45,12 @@
     clearInterval(this.timer);
   }
 
+  /** Forgets everything: what entry processes do under another leader is not told here. */
+  reset(): void {
+    this.schedulers.clear();
+    this.jobs.clear();
+  }
+
   addHandlers(handlers: Map<string, CallHandler>): void {
     handlers.set(METHODS.place, (body, link) => this.place(body as EngineJob, link));
   }
--- /dev/null
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { UpstreamTable } from '@azurecart/discovery';
+import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import { METHODS } from '../../src/control/messages.js';
+import { PlacementService } from '../../src/control/PlacementService.js';
+import { Link } from '../../src/links/index.js';
+import type { CallHandler } from '../../src/links/index.js';
+import { silentLogger, versionCodec } from './ControlCluster.js';
+
+const ENGINE = {
+  capacity: 1,
+  memoryTokens: 405_000,
+  stepMs: 1.31,
+  writerMs: 0.00133,
+  contextMsPerThousand: 0.00213,
+  readTokensPerSecond: 154_000,
+  pairMsPerMillion: 0.162,
+  chunkTokens: 2048,
+  strideSteps: 34,
+  reportLagMs: 200,
+};
+
+function createJob(id: string): EngineJob {
+  return {
+    id,
+    service: 's',
+    dataCentre: 'd',
+    promptTokens: 1000,
+    priority: 0,
+    objectiveMs: 250,
+    pauseMs: 250,
+    remainingMs: 5000,
+    waitedMs: 0,
+    excluded: [],
+  };
+}
+
+/** A service with one engine that takes one job, and a link of an entry process to it. */
+async function startService() {
+  const table = new UpstreamTable({ now: () => performance.now() });
+  const record = { id: 'e', bornAt: 1, sequence: 1, service: 's', address: 'a', dataCentre: 'd' };
+  table.merge({ ...record, capacity: 1, state: 'ready' });
+  const configuration = versionCodec.decode(Buffer.from('1'));
+  configuration.services.push({ name: 's', healthPath: '/', maxConnections: 9, engine: ENGINE });
+  const service = new PlacementService({
+    table,
+    getConfiguration: () => configuration,
+    isLeader: () => true,
+    logger: silentLogger,
+  });
+  const handlers = new Map<string, CallHandler>();
+  service.addHandlers(handlers);
+  const server = createServer((socket) => {
+    service.follow(new Link({ socket, handlers }));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const open = (): Link =>
+    new Link({ socket: connect({ host: '127.0.0.1', port }), handlers: new Map() });
+  const place = async (link: Link, id: string): Promise<string> =>
+    ((await link.call(METHODS.place, createJob(id), 1000)) as EngineDecision).kind;
+  const stop = (): void => {
+    service.stop();
+    server.close();
+  };
+  return { service, open, place, stop };
+}
+
+test('a job that is released makes room', async () => {
+  const { open, place, stop } = await startService();
+  const link = open();
+  assert.equal(await place(link, '1'), 'placed');
+  assert.equal(await place(link, '2'), 'queued');
+  const told = new Promise((resolve) => {
+    link.received.subscribe(({ body }) => resolve((body as { id: string }).id));
+  });
+  link.notify(METHODS.release, { id: '1' });
+  assert.equal(await told, '2');
+  link.close();
+  stop();
+});
+
+test('the jobs of an entry process end with its link', async () => {
+  const { open, place, stop } = await startService();
+  const first = open();
+  assert.equal(await place(first, '1'), 'placed');
+  first.close();
+  const second = open();
+  while ((await place(second, '2')) !== 'placed') second.notify(METHODS.release, { id: '2' });
+  second.close();
+  stop();
+});
+
+test('a process that leads again remembers nothing of its first time', async () => {
+  const { service, open, place, stop } = await startService();
+  const link = open();
+  assert.equal(await place(link, '1'), 'placed');
+  service.reset();
+  assert.equal(await place(link, '2'), 'placed');
+  link.close();
+  stop();
+});
