Keep one copy of addresses and seed links; drop what nothing uses

'host:port' was taken apart in five places and listened to in three, the seeds' link addresses were worked out in two, the load header of every answer was decoded and read by nobody, and a type of the scheduler's name (EnginePace), Link.backlog, Mesh.getOpen and LinkFault.remote had no user. Ruled out: using the completions side's listen and readBody, whose settings, TLS and fixed length are another contract; the other listed pairs are alike in shape only. Change: links/addresses.ts and settings/getSeedLinks.ts; dead parts removed. Behaviour as before; no assertion changed.

--- a/packages/gateway/src/configuration/Configuration.ts
+++ b/packages/gateway/src/configuration/Configuration.ts
@@ -90,10 +90,7 @@
   customers: z.array(customerSchema).optional(),
 });
 
-export type RequestKind = z.infer<typeof requestKindSchema>;
-export type Backend = z.infer<typeof backendSchema>;
 export type Route = z.infer<typeof routeSchema>;
-export type EnginePace = z.infer<typeof engineSchema>;
 export type Service = z.infer<typeof serviceSchema>;
 export type Limits = z.infer<typeof limitsSchema>;
 export type Customer = z.infer<typeof customerSchema>;
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -20,8 +20,9 @@
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfiguration } from '../configuration/index.js';
 import type { Configuration, ConfigurationCodec } from '../configuration/index.js';
-import { LinkServer } from '../links/index.js';
+import { LinkServer, listenAt } from '../links/index.js';
 import type { CallHandler, Link } from '../links/index.js';
+import { getSeedLinks } from '../settings/index.js';
 import type { ControlSettings } from '../settings/index.js';
 import { ConfigurationState, encodeProposal } from './ConfigurationState.js';
 import type { VersionedDocument } from './ConfigurationState.js';
@@ -100,7 +101,7 @@
     const { settings, protocol, logger } = options;
     const now = (): number => performance.now();
     this.self = `${settings.host}:${settings.linkPort}`;
-    this.seeds = getLinkAddresses(settings);
+    this.seeds = getSeedLinks(settings);
     this.state = new ConfigurationState(() => this.adoptConfiguration());
     this.table = new UpstreamTable({ now });
     this.feed = new Feed({
@@ -140,11 +141,7 @@
       this.reopen().catch(() => undefined);
     });
     this.mesh.retain([...this.seeds]);
-    const [host = '', port = '0'] = settings.operators.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(Number(port), host, resolve);
-    });
+    await listenAt(this.server, settings.operators);
     this.runPushes().catch((error: unknown) => logger.error({ err: error }, 'pushes ended'));
     this.runUpkeep().catch((error: unknown) => logger.error({ err: error }, 'upkeep ended'));
     logger.info({ self: this.self, seeds: this.seeds }, 'control started');
@@ -170,7 +167,7 @@
 
   /** Adopts changed settings. */
   reload(settings: ControlSettings): void {
-    this.seeds = getLinkAddresses(settings);
+    this.seeds = getSeedLinks(settings);
     this.options.logger.info({ seeds: this.seeds }, 'settings reloaded');
   }
 
@@ -415,7 +412,3 @@
     if (records.length > 0) this.feed.pushHeard(records);
   }
 }
-
-function getLinkAddresses(settings: ControlSettings): string[] {
-  return settings.seeds.map((seed) => `${seed.split(':')[0]}:${settings.linkPort}`);
-}
--- a/packages/gateway/src/control/Mesh.ts
+++ b/packages/gateway/src/control/Mesh.ts
@@ -1,5 +1,5 @@
 import type { CallHandler, Link } from '../links/index.js';
-import { LinkFault, OutboundLink } from '../links/index.js';
+import { LinkFault, OutboundLink, parseAddress } from '../links/index.js';
 
 /** What a mesh needs. */
 export interface MeshOptions {
@@ -25,10 +25,8 @@
     if (this.isStopped) throw new LinkFault('the mesh has stopped');
     const known = this.links.get(address);
     if (known) return known;
-    const [host = '', port = '0'] = address.split(':');
     const link = new OutboundLink({
-      host,
-      port: Number(port),
+      ...parseAddress(address),
       handlers: this.options.handlers,
       onOpen: (opened) => this.options.onOpen(opened, address),
     });
@@ -50,11 +48,6 @@
     }
   }
 
-  /** Gets the links that are open. */
-  getOpen(): Link[] {
-    return [...this.links.values()].flatMap((link) => link.current ?? []);
-  }
-
   getAddresses(): string[] {
     return [...this.links.keys()];
   }
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -8,6 +8,7 @@
   UpstreamNotice,
 } from '../control/messages.js';
 import type { CallHandler, Link } from '../links/index.js';
+import { getSeedLinks } from '../settings/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import type { View } from './View.js';
 
@@ -82,7 +83,3 @@
     this.mesh.retain([...this.seeds, ...members]);
   }
 }
-
-function getSeedLinks(settings: EntrySettings): string[] {
-  return settings.seeds.map((seed) => `${seed.split(':')[0]}:${settings.linkPort}`);
-}
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -4,6 +4,7 @@
 import { Registry } from 'prom-client';
 import type { Logger } from '@azurecart/telemetry';
 import type { ConfigurationCodec } from '../configuration/index.js';
+import { listenAt } from '../links/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import { UpstreamAgent } from '../upstreams/index.js';
 import { ControlLinks } from './ControlLinks.js';
@@ -80,8 +81,8 @@
   async start(): Promise<void> {
     const { settings, logger } = this.options;
     this.links.start();
-    await listen(this.front, settings.front);
-    await listen(this.readiness, settings.readiness);
+    await listenAt(this.front, settings.front);
+    await listenAt(this.readiness, settings.readiness);
     setInterval(() => this.sweep(), SWEEP_MS).unref();
     logger.info({ front: settings.front, seeds: settings.seeds }, 'entry started');
   }
@@ -174,11 +175,3 @@
     this.health.retain((id) => this.view.table.getUpstream(id) !== undefined);
   }
 }
-
-function listen(server: Server, address: string): Promise<void> {
-  const [host = '', port = '0'] = address.split(':');
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), host, resolve);
-  });
-}
--- a/packages/gateway/src/entry/Wire.ts
+++ b/packages/gateway/src/entry/Wire.ts
@@ -34,13 +34,6 @@
   ticket?: string;
 }
 
-/** Load that an upstream tells with an answer. */
-export interface Load {
-  running: number;
-  waiting: number;
-  slots: number;
-}
-
 /** What the headers of an upstream's answer say. */
 export interface AnswerTerms {
   attemptId: string | undefined;
@@ -48,7 +41,6 @@
   isNotRun: boolean;
   /** True when the answer carries the upstream's signature. */
   isSigned: boolean;
-  load: Load | undefined;
 }
 
 /** Translates the headers of clients and upstreams. */
--- a/packages/gateway/src/links/Link.ts
+++ b/packages/gateway/src/links/Link.ts
@@ -31,8 +31,8 @@
   timer: NodeJS.Timeout;
 }
 
-export const PING_MS = 400;
-export const SILENCE_MS = 1400;
+const PING_MS = 400;
+const SILENCE_MS = 1400;
 
 /** One connection between two processes. Either side may call or notify the other. */
 export class Link {
@@ -80,11 +80,6 @@
     return performance.now() - this.heardAt;
   }
 
-  /** Bytes that wait to be sent. */
-  get backlog(): number {
-    return this.options.socket.writableLength;
-  }
-
   /** Gets the messages of the other side. */
   get received(): Observable<Notice> {
     return this.notices.asObservable();
@@ -152,7 +147,7 @@
     else if (kind === FrameKind.Notice) this.notices.next({ method, body, link: this });
     else if (kind === FrameKind.Answer) this.settle(id)?.resolve(body);
     else if (kind === FrameKind.Failure)
-      this.settle(id)?.reject(new LinkFault(`${method}: ${String(body)}`, true));
+      this.settle(id)?.reject(new LinkFault(`${method}: ${String(body)}`));
   }
 
   private async answer(id: number, method: string, body: unknown): Promise<void> {
--- a/packages/gateway/src/links/LinkServer.ts
+++ b/packages/gateway/src/links/LinkServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
+import { listenAt } from './addresses.js';
 import { Link } from './Link.js';
 import type { CallHandler } from './Link.js';
 
@@ -29,10 +30,7 @@
   /** Starts listening; rejects when the address is taken. */
   start(): Promise<void> {
     const { host, port } = this.options;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    return listenAt(this.server, `${host}:${port}`);
   }
 
   /** Closes the server and all its links. */
--- a/packages/gateway/src/links/index.ts
+++ b/packages/gateway/src/links/index.ts
@@ -1,4 +1,5 @@
 /** Framed connections between processes: calls, notices and heartbeats both ways. */
+export * from './addresses.js';
 export * from './frames.js';
 export * from './Link.js';
 export * from './LinkFault.js';
--- a/packages/gateway/src/upstreams/UpstreamAgent.ts
+++ b/packages/gateway/src/upstreams/UpstreamAgent.ts
@@ -14,7 +14,7 @@
   }
 
   override keepSocketAlive(socket: Socket): boolean {
-    // @ts-expect-error -- See above.
+    // @ts-expect-error -- The type definitions leave out this documented hook of the agent.
     const isKept = super.keepSocketAlive(socket) as boolean;
     if (isKept) socket.once('data', destroySocket);
     return isKept;
@@ -22,7 +22,7 @@
 
   override reuseSocket(socket: Duplex, request: unknown): void {
     socket.removeListener('data', destroySocket);
-    // @ts-expect-error -- See above.
+    // @ts-expect-error -- The type definitions leave out this documented hook of the agent.
     super.reuseSocket(socket, request);
   }
 }
--- a/packages/gateway/src/upstreams/UpstreamCall.ts
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -1,5 +1,6 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { parseAddress } from '../links/index.js';
 import type { UpstreamAgent } from './UpstreamAgent.js';
 import { UpstreamFault } from './UpstreamFault.js';
 
@@ -35,11 +36,9 @@
    */
   send(): Promise<IncomingMessage> {
     const { options } = this;
-    const [host, port] = options.address.split(':');
     return new Promise((resolve, reject) => {
       const request = openRequest({
-        host,
-        port: Number(port),
+        ...parseAddress(options.address),
         method: options.method,
         path: options.path,
         headers: toHeaderList(options),
--- a/packages/gateway/tests/entry/startFront.ts
+++ b/packages/gateway/tests/entry/startFront.ts
@@ -41,7 +41,6 @@
     attemptId: headers.attempt as string | undefined,
     isNotRun: status === 421 || headers.unrun !== undefined,
     isSigned: headers.signed !== undefined,
-    load: undefined,
   }),
 };
 
