Hold prompts beyond one engine's memory on several engines

Ruled out: waiting reservations (two prompts could wait for each other), long holds (a dead entry process would leave memory taken beyond the time allowed). The scheduler is split by pattern and keeps sums per engine instead of counting its jobs at each look.

--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -79,11 +79,11 @@
     return decision;
   }
 
-  private adopt({ job, upstream, isWriting }: AdoptNotice, link: Link): void {
+  private adopt({ job, upstream, helpers, isWriting }: AdoptNotice, link: Link): void {
     const scheduler = this.getScheduler(job.service);
     if (!scheduler || this.jobs.has(job.id)) return;
     scheduler.setEngines(this.options.table.getReady(job.service));
-    scheduler.adopt(job, upstream, isWriting);
+    scheduler.adopt(job, upstream, helpers, isWriting);
     this.jobs.set(job.id, { scheduler, link });
   }
 
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -1,5 +1,5 @@
 import type { Announcement } from '@azurecart/discovery';
-import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import type { EngineDecision, EngineHelp, EngineJob } from '@azurecart/scheduling';
 
 /** Names of the calls and notices between processes. */
 export const METHODS = {
@@ -80,6 +80,7 @@
 export interface AdoptNotice {
   job: EngineJob;
   upstream: string;
+  helpers: EngineHelp[];
   isWriting: boolean;
 }
 
--- a/packages/gateway/src/entry/Job.ts
+++ b/packages/gateway/src/entry/Job.ts
@@ -100,6 +100,12 @@
     this.runCount += 1;
   }
 
+  /** The upstream could not be used, and nothing was sent to it. */
+  addFailedPlacement(upstreamId: string): void {
+    this.excluded.add(upstreamId);
+    this.sendCount += 1;
+  }
+
   /** The upstream has certainly not run the request. */
   takeBackRun(): void {
     this.runCount -= 1;
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -1,6 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Route } from '../configuration/index.js';
-import type { Helper } from './Wire.js';
 
 /** A request that needs an upstream. */
 export interface PlacementRequest {
@@ -20,9 +19,16 @@
   excluded: Set<string>;
 }
 
+/** An upstream that reads a part of the prompt. */
+export interface PlacedHelper {
+  upstream: UpstreamRecord;
+  /** Tokens that it keeps until the answer ends; 0 for none. */
+  heldTokens: number;
+}
+
 /** Where a request goes, or why it goes nowhere. */
 export type Placement =
-  | { kind: 'placed'; upstream: UpstreamRecord; helpers: Helper[]; jobId?: string }
+  | { kind: 'placed'; upstream: UpstreamRecord; helpers: PlacedHelper[]; jobId?: string }
   | { kind: 'refused'; reason: string; retryAfterMs: number };
 
 /** What is told of a placed request while it runs. */
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -7,7 +7,8 @@
 import type { EntryMetrics } from './EntryMetrics.js';
 import type { Exchange } from './Exchange.js';
 import { Job } from './Job.js';
-import type { Placer, Reservation } from './Placement.js';
+import { JointMemory, OrderClient } from './memory/index.js';
+import type { PlacedHelper, Placer, Reservation } from './Placement.js';
 import type { SharedRetryBudget } from './SharedRetryBudget.js';
 import { UpstreamAttempt } from './UpstreamAttempt.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
@@ -45,7 +46,12 @@
 
 /** Serves one request from its head to its last byte. */
 export class RequestTask {
-  constructor(private readonly options: RequestTaskOptions) {}
+  private readonly orders: OrderClient;
+
+  constructor(private readonly options: RequestTaskOptions) {
+    const { wire, agent, logger } = options;
+    this.orders = new OrderClient({ wire, agent, logger });
+  }
 
   /** Runs the task; it never rejects. */
   async run(exchange: Exchange, routing: RoutingTable | undefined): Promise<void> {
@@ -146,22 +152,43 @@
     if (placement.kind === 'refused') return placement;
     const { upstream, helpers, jobId } = placement;
     const reserved = placer.reserve(request, upstream, jobId);
-    if (job.signal.aborted) {
+    const memory = job.signal.aborted
+      ? undefined
+      : await this.takeMemory(job, upstream.id, helpers);
+    if (!memory || job.signal.aborted) {
+      memory?.release();
       reserved.release(false);
-      return { kind: 'notRun', reason: String(job.signal.reason) };
+      const reason = job.signal.aborted ? String(job.signal.reason) : 'engine memory not granted';
+      return { kind: 'notRun', reason };
     }
     const reservation = this.watchFirstEvent(job, reserved);
     let isBroken = false;
     try {
-      const parts = { wire, health, agent, job, upstream, helpers, reservation };
+      const addresses = helpers.map(({ upstream: { address } }) => ({
+        address,
+        ticket: memory.getTicket(address),
+      }));
+      const parts = { wire, health, agent, job, upstream, helpers: addresses, reservation };
       const outcome = await new UpstreamAttempt(parts).run();
       isBroken = outcome.kind === 'unknown' && !job.signal.aborted;
       return outcome;
     } finally {
       reserved.release(isBroken);
+      memory.release();
     }
   }
 
+  private async takeMemory(
+    job: Job,
+    upstreamId: string,
+    helpers: PlacedHelper[],
+  ): Promise<JointMemory | undefined> {
+    const { logger } = this.options;
+    const memory = await JointMemory.take({ helpers, orders: this.orders, logger });
+    if (!memory) job.addFailedPlacement(upstreamId);
+    return memory;
+  }
+
   /** Passes the first event of an attempt on to the reservation and the metrics. */
   private watchFirstEvent(job: Job, reserved: Reservation): Reservation {
     let hasEvent = false;
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -1,14 +1,19 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
-import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import type { EngineDecision, EngineHelp, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Mesh } from '../control/Mesh.js';
 import { METHODS } from '../control/messages.js';
 import type { AdoptNotice, JobNotice, PlacedNotice } from '../control/messages.js';
 import type { Link, Notice } from '../links/index.js';
 import type { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
-import type { Placement, PlacementRequest, Placer, Reservation } from './Placement.js';
+import type {
+  PlacedHelper,
+  Placement,
+  PlacementRequest,
+  Placer,
+  Reservation,
+} from './Placement.js';
 import type { View } from './View.js';
-import type { Helper } from './Wire.js';
 
 /** What the placer needs. */
 export interface ScheduledPlacerOptions {
@@ -75,8 +80,9 @@
       tellRelease(link, { id: job.id });
       return this.placeAlone(request);
     }
-    this.jobs.set(job.id, { job, upstream: upstream.id, isWriting: false, link });
-    return { kind: 'placed', upstream, helpers: this.getHelpers(decision.helpers), jobId: job.id };
+    const { helpers } = decision;
+    this.jobs.set(job.id, { job, upstream: upstream.id, helpers, isWriting: false, link });
+    return { kind: 'placed', upstream, helpers: this.getHelpers(helpers), jobId: job.id };
   }
 
   reserve(
@@ -99,23 +105,31 @@
   introduce(link: Link): void {
     this.follow(link);
     for (const own of this.jobs.values()) {
-      const { job, upstream, isWriting } = own;
-      link.notify(METHODS.adopt, { job, upstream, isWriting });
+      const { job, upstream, helpers, isWriting } = own;
+      link.notify(METHODS.adopt, { job, upstream, helpers, isWriting });
       own.link = link;
     }
   }
 
   private async placeAlone(request: PlacementRequest): Promise<Placement> {
+    if (this.needsSeveral(request))
+      return { kind: 'refused', reason: 'no scheduler', retryAfterMs: RETRY_AFTER_MS };
     const placement = await this.options.fallback.place(request);
     if (placement.kind !== 'placed') return placement;
     const job = this.createJob(request);
     const link = this.getScheduler();
-    const own: OwnJob = { job, upstream: placement.upstream.id, isWriting: false, link };
-    this.jobs.set(job.id, own);
-    link?.notify(METHODS.adopt, { job, upstream: own.upstream, isWriting: false });
+    const notice = { job, upstream: placement.upstream.id, helpers: [], isWriting: false };
+    this.jobs.set(job.id, { ...notice, link });
+    link?.notify(METHODS.adopt, notice);
     return { ...placement, jobId: job.id };
   }
 
+  /** True when no single engine can hold the prompt; only the scheduler knows which are clear. */
+  private needsSeveral(request: PlacementRequest): boolean {
+    const engine = this.options.view.routing?.getService(request.service)?.engine;
+    return engine !== undefined && request.promptTokens > engine.memoryTokens;
+  }
+
   /** Asks the scheduler; undefined when it does not answer or its link ends. */
   private async ask(
     link: Link,
@@ -181,8 +195,12 @@
     return link;
   }
 
-  private getHelpers(ids: string[]): Helper[] {
-    return ids.flatMap((id) => this.options.view.table.getUpstream(id) ?? []);
+  private getHelpers(helpers: EngineHelp[]): PlacedHelper[] {
+    const { table } = this.options.view;
+    return helpers.flatMap(({ engine, heldTokens }) => {
+      const upstream = table.getUpstream(engine);
+      return upstream ? [{ upstream, heldTokens }] : [];
+    });
   }
 
   private addProgress(id: string): void {
--- a/packages/gateway/src/entry/Wire.ts
+++ b/packages/gateway/src/entry/Wire.ts
@@ -34,6 +34,19 @@
   ticket?: string;
 }
 
+/** An order about memory that a prompt of several engines needs. */
+export type MemoryOrder =
+  | { kind: 'reserve'; ticket: string; tokens: number; holdMs: number }
+  | { kind: 'release'; ticket: string };
+
+/** A call that gives an upstream an order. */
+export interface OrderMessage {
+  method: string;
+  path: string;
+  headers: [string, string][];
+  body: Buffer;
+}
+
 /** What the headers of an upstream's answer say. */
 export interface AnswerTerms {
   attemptId: string | undefined;
@@ -49,6 +62,7 @@
   /** Gets the headers to send on: the client's, without those that the system sets itself. */
   writeRequest(rawHeaders: string[], terms: DispatchTerms): [string, string][];
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerTerms;
+  writeOrder(upstreamId: string, order: MemoryOrder): OrderMessage;
   /** Path at which the balancer asks whether the process takes requests. */
   readonly readinessPath: string;
 }
--- a/packages/gateway/tests/entry/startFront.ts
+++ b/packages/gateway/tests/entry/startFront.ts
@@ -16,7 +16,7 @@
 import type { ScriptedUpstream } from './ScriptedUpstream.js';
 
 /** Headers of the tests: `attempt`, `key`, `deadline`, `last`, and `signed` or `unrun` back. */
-const wire: Wire = {
+export const wire: Wire = {
   readinessPath: '/ready',
   readRequest: (headers) => ({
     attemptId: String(headers.attempt),
@@ -37,6 +37,12 @@
     if (terms.lastEventId !== undefined) pairs.push(['last', terms.lastEventId]);
     return pairs;
   },
+  writeOrder: (upstreamId, order) => ({
+    method: 'POST',
+    path: '/order',
+    headers: [['expected', upstreamId]],
+    body: Buffer.from(JSON.stringify(order)),
+  }),
   readAnswer: (status, headers) => ({
     attemptId: headers.attempt as string | undefined,
     isNotRun: status === 421 || headers.unrun !== undefined,
--- a/packages/scheduling/src/engines/EngineJob.ts
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -19,8 +19,15 @@
   excluded: string[];
 }
 
+/** An engine that reads a part of a prompt for another one. */
+export interface EngineHelp {
+  engine: string;
+  /** Tokens of the prompt that the engine keeps in memory until the answer ends; 0 for none. */
+  heldTokens: number;
+}
+
 /** Where a job goes, or that it cannot be served. */
 export type EngineDecision =
-  | { kind: 'placed'; engine: string; helpers: string[] }
+  | { kind: 'placed'; engine: string; helpers: EngineHelp[] }
   | { kind: 'queued' }
   | { kind: 'refused'; retryAfterMs: number; reason: string };
--- a/packages/scheduling/src/engines/EngineLoad.ts
+++ b/packages/scheduling/src/engines/EngineLoad.ts
@@ -9,25 +9,46 @@
   capacity: number;
 }
 
+/** What a job takes of one engine. */
+export interface EngineShare {
+  /** Milliseconds of reading. */
+  readMs: number;
+  /** Tokens kept in memory until the job ends. */
+  heldTokens: number;
+  /** True for a part that is read for another engine's job. */
+  isHelp?: boolean;
+}
+
+/** Reading in milliseconds from which a prompt is kept away from streams with short pauses. */
+export const HEAVY_READ_MS = 180;
+
 /** Part of a running pass that a newcomer waits for. */
 const REST_SHARE = 0.75;
 
-interface RunningJob {
+interface RunningJob extends Required<EngineShare> {
   job: EngineJob;
-  readMs: number;
   /** Monotonic time in milliseconds at which the reading is expected to end. */
   readEndAt: number;
   isWriting: boolean;
   /** True when a pause is expected to exceed the limit already. */
   isHarmed: boolean;
-  /** True for a part that is read for another engine's job. */
-  isHelp: boolean;
+}
+
+/** Sums over the jobs of an engine. */
+interface Totals {
+  writers: number;
+  heldTokens: number;
+  /** Jobs whose reading is short. */
+  light: number;
+  unread: RunningJob[];
 }
 
 /** What one engine works on, as far as the scheduler was told. */
 export class EngineLoad {
   private readonly jobs = new Map<string, RunningJob>();
 
+  private totals: Totals | undefined;
+
   constructor(
     readonly engine: EngineEntry,
     private readonly model: PassModel,
@@ -42,17 +63,17 @@
   }
 
   get writers(): number {
-    return this.list().filter((running) => running.isWriting).length;
+    return this.getTotals().writers;
   }
 
-  /** Gets the number of jobs whose reading is short. */
-  getLightCount(heavyReadMs: number): number {
-    return this.list().filter(({ readMs, isHelp }) => !isHelp && readMs <= heavyReadMs).length;
+  /** Number of jobs whose reading is short. */
+  get lightCount(): number {
+    return this.getTotals().light;
   }
 
-  /** Gets the tokens that the jobs hold. */
+  /** Tokens that the jobs hold in memory. */
   get tokens(): number {
-    return this.list().reduce((sum, { job, isHelp }) => sum + (isHelp ? 0 : job.promptTokens), 0);
+    return this.getTotals().heldTokens;
   }
 
   /**
@@ -63,12 +84,10 @@
   getBacklogMs(now: number): number {
     const { pace } = this.model;
     const passMs = pace.strideSteps * pace.stepMs;
-    return this.list()
-      .filter((running) => !running.isWriting)
-      .map(({ readMs, readEndAt }) =>
-        readMs <= passMs ? readMs : Math.min(readMs, Math.max(0, readEndAt - now)),
-      )
-      .reduce((sum, left) => sum + left, 0);
+    let sum = 0;
+    for (const { readMs, readEndAt } of this.getTotals().unread)
+      sum += readMs <= passMs ? readMs : Math.min(readMs, Math.max(0, readEndAt - now));
+    return sum;
   }
 
   /**
@@ -85,34 +104,45 @@
   getHarm(readMs: number, now: number): number {
     const pass = this.model.getPassMs(this.writers + 1, this.tokens);
     const pause = pass + this.getBacklogMs(now) + readMs;
-    return this.list()
-      .filter(({ isHarmed, isHelp }) => !isHarmed && !isHelp)
-      .filter(({ job }) => pause > job.pauseMs)
-      .reduce((sum, running) => sum + getWeight(running.readMs), 0);
+    let sum = 0;
+    for (const { isHarmed, isHelp, job, readMs: lostMs } of this.jobs.values())
+      if (!isHarmed && !isHelp && pause > job.pauseMs) sum += getWeight(lostMs);
+    return sum;
   }
 
-  add(job: EngineJob, readMs: number, now: number, isHelp = false): void {
-    const pause = this.getBacklogMs(now) + readMs;
+  add(job: EngineJob, share: EngineShare, now: number): void {
+    const pause = this.getBacklogMs(now) + share.readMs;
     for (const running of this.jobs.values()) {
       if (running.isWriting && pause > running.job.pauseMs) running.isHarmed = true;
     }
-    const readEndAt = now + this.getBacklogMs(now) + readMs;
-    const isWriting = false;
-    this.jobs.set(job.id, { job, readMs, readEndAt, isWriting, isHarmed: false, isHelp });
+    this.jobs.set(job.id, {
+      isHelp: false,
+      ...share,
+      job,
+      readEndAt: now + pause,
+      isWriting: false,
+      isHarmed: false,
+    });
+    this.totals = undefined;
   }
 
-  /** The job's first event has come, so its prompt is read. */
+  /** The job's first event has come, so its prompt is read; help that holds nothing ends. */
   markWriting(id: string): void {
     const running = this.jobs.get(id);
-    if (running) running.isWriting = true;
+    if (!running) return;
+    running.isWriting = true;
+    if (running.isHelp && running.heldTokens === 0) this.jobs.delete(id);
+    this.totals = undefined;
   }
 
   remove(id: string): boolean {
+    this.totals = undefined;
     return this.jobs.delete(id);
   }
 
-  private list(): RunningJob[] {
-    return [...this.jobs.values()];
+  private getTotals(): Totals {
+    this.totals ??= sumUp([...this.jobs.values()]);
+    return this.totals;
   }
 }
 
@@ -122,3 +152,12 @@
 export function getWeight(readMs: number): number {
   return 1 + readMs / MS_PER_SECOND;
 }
+
+function sumUp(jobs: RunningJob[]): Totals {
+  return {
+    writers: jobs.filter(({ isWriting }) => isWriting).length,
+    heldTokens: jobs.reduce((sum, { heldTokens }) => sum + heldTokens, 0),
+    light: jobs.filter(({ isHelp, readMs }) => !isHelp && readMs <= HEAVY_READ_MS).length,
+    unread: jobs.filter(({ isWriting }) => !isWriting),
+  };
+}
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -1,5 +1,16 @@
-import type { EngineDecision, EngineJob } from './EngineJob.js';
-import { EngineLoad, getWeight } from './EngineLoad.js';
+import {
+  chooseForHeavy,
+  chooseForLight,
+  chooseJoint,
+  MAX_HELPERS,
+  MAX_JOINT_ENGINES,
+  OBJECTIVE_SHARE,
+  READ_SHARE,
+  WRITE_MS,
+} from './choices/index.js';
+import type { Choice } from './choices/index.js';
+import type { EngineDecision, EngineHelp, EngineJob } from './EngineJob.js';
+import { EngineLoad, HEAVY_READ_MS } from './EngineLoad.js';
 import type { EngineEntry } from './EngineLoad.js';
 import { PassModel } from './PassModel.js';
 import type { EnginePace } from './PassModel.js';
@@ -18,30 +29,10 @@
   deadlineAt: number;
 }
 
-/** Reading in milliseconds from which a prompt is kept away from streams with short pauses. */
-const HEAVY_READ_MS = 180;
-/** Short prompts that one engine gets before another one is opened for them. */
-const LIGHT_TARGET = 7;
-/** Cost of an engine in another data centre, in parts of a spoilt request. */
-const DISTANCE_COST = 0.02;
-/** Cost of opening an empty engine for a short prompt, in parts of a spoilt request. */
-const OPEN_COST = 0.12;
-/** Cost of a first event that takes the whole objective, in parts of a spoilt request. */
-const DELAY_COST = 0.5;
-/** Cost of each short prompt beyond the target, in parts of a spoilt request. */
-const CROWD_COST = 0.08;
-/** Part of the objective that a prediction may use up. */
-const OBJECTIVE_SHARE = 0.85;
-/** Part of the objective in which the reading of a prompt should end; others help beyond it. */
-const READ_SHARE = 0.5;
-/** Engines that may read for another one. */
-const MAX_HELPERS = 6;
 /** Part of an engine's memory that prompts may fill. */
 const MEMORY_SHARE = 0.95;
 /** Avoidance in milliseconds of an engine whose connection broke. */
 const AVOID_MS = 1500;
-/** Milliseconds that writing an answer is expected to take at least. */
-const WRITE_MS = 800;
 const MIN_RETRY_MS = 300;
 
 /**
@@ -89,18 +80,24 @@
   }
 
   /** Adds a job that was placed elsewhere. */
-  adopt(job: EngineJob, engine: string, isWriting: boolean): void {
-    const load = this.loads.get(engine);
-    if (!load) return;
-    load.add(job, this.model.getReadMs(job.promptTokens), this.options.now());
-    if (isWriting) load.markWriting(job.id);
+  adopt(job: EngineJob, engine: string, helpers: EngineHelp[], isWriting: boolean): void {
+    const now = this.options.now();
+    const readMs = this.model.getReadMs(job.promptTokens) / (helpers.length + 1);
+    const helped = helpers.reduce((sum, { heldTokens }) => sum + heldTokens, 0);
+    const heldTokens = job.promptTokens - helped;
+    this.loads.get(engine)?.add(job, { readMs, heldTokens }, now);
+    const help = { ...job, id: getHelpId(job.id) };
+    helpers.forEach(({ engine: id, heldTokens: held }) =>
+      this.loads.get(id)?.add(help, { readMs, heldTokens: held, isHelp: true }, now),
+    );
+    if (isWriting) this.markWriting(job.id);
   }
 
   /** The first event of a job has come. */
   markWriting(id: string): void {
     this.loads.forEach((load) => {
       load.markWriting(id);
-      load.remove(getHelpId(id));
+      load.markWriting(getHelpId(id));
     });
     this.decideQueued();
   }
@@ -140,37 +137,55 @@
     now: number,
   ): EngineDecision {
     const readMs = this.model.getReadMs(job.promptTokens);
-    const isHeavy = readMs > HEAVY_READ_MS;
-    const candidates = this.getCandidates(job, now);
+    const remainingMs = deadlineAt - now;
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
-    const choice = isHeavy
-      ? chooseForHeavy(job, candidates, readMs, now)
-      : chooseForLight(job, candidates, readMs, slackMs, now);
-    if (choice && (choice.isClear || !mayWait(isHeavy, slackMs, readMs, deadlineAt - now)))
-      return assign(job, choice.load, choice.helpers, readMs, now);
-    if (deadlineAt - now < readMs / (MAX_HELPERS + 1) + WRITE_MS)
+    const roomTokens = Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
+    const candidates = this.getCandidates(job, roomTokens, now);
+    const candidacy = { job, candidates, readMs, slackMs, remainingMs, roomTokens, now };
+    if (job.promptTokens > roomTokens) {
+      const choice = chooseJoint(candidacy);
+      if (choice) return assign(job, choice, readMs, now);
+      return this.queueJoint(job, readMs, remainingMs, roomTokens);
+    }
+    const isHeavy = readMs > HEAVY_READ_MS;
+    const choice = isHeavy ? chooseForHeavy(candidacy) : chooseForLight(candidacy);
+    if (choice && (choice.isClear || !mayWait(isHeavy, slackMs, readMs, remainingMs)))
+      return assign(job, choice, readMs, now);
+    if (remainingMs < readMs / (MAX_HELPERS + 1) + WRITE_MS)
       return this.refuse('the time left is too short');
-    if (isHeavy && this.isHopeless(readMs, deadlineAt - now, now))
+    if (isHeavy && this.isHopeless(readMs, remainingMs, now))
       return this.refuse('engines are busy');
     return { kind: 'queued' };
   }
 
-  private getCandidates(job: EngineJob, now: number): EngineLoad[] {
+  /** Lets a prompt beyond one engine's memory wait while it can still be served. */
+  private queueJoint(
+    job: EngineJob,
+    readMs: number,
+    remainingMs: number,
+    roomTokens: number,
+  ): EngineDecision {
+    const engines = Math.min(MAX_JOINT_ENGINES, this.loads.size);
+    if (engines * roomTokens < job.promptTokens)
+      return this.refuse('the prompt exceeds the memory of all engines');
+    if (remainingMs < readMs / engines + WRITE_MS) return this.refuse('the time left is too short');
+    return { kind: 'queued' };
+  }
+
+  private getCandidates(job: EngineJob, roomTokens: number, now: number): EngineLoad[] {
     const usable = [...this.loads.values()].filter(
       ({ engine }) => !job.excluded.includes(engine.id),
     );
     const sound = usable.filter(({ engine }) => (this.avoidedUntil.get(engine.id) ?? 0) <= now);
-    const room = this.options.pace.memoryTokens * MEMORY_SHARE - job.promptTokens;
+    const heldTokens = Math.min(job.promptTokens, roomTokens);
     return (sound.length > 0 ? sound : usable).filter(
-      (load) => !load.isFull && load.tokens <= room,
+      (load) => !load.isFull && load.tokens + heldTokens <= roomTokens,
     );
   }
 
   /** True when the long prompts ahead leave no time for this one on the engines there are. */
   private isHopeless(readMs: number, remainingMs: number, now: number): boolean {
-    const heavy = [...this.loads.values()].filter(
-      (load) => load.getLightCount(HEAVY_READ_MS) === 0,
-    );
+    const heavy = [...this.loads.values()].filter((load) => load.lightCount === 0);
     const engines = Math.max(1, heavy.length);
     const running = heavy.reduce((sum, load) => sum + load.getBacklogMs(now), 0);
     const waiting = this.queue.reduce(
@@ -188,13 +203,6 @@
   }
 }
 
-interface Choice {
-  load: EngineLoad;
-  helpers: EngineLoad[];
-  /** True when nobody is spoilt by it. */
-  isClear: boolean;
-}
-
 /** A long prompt waits for a clear engine as long as it can still be read in time. */
 function mayWait(isHeavy: boolean, slackMs: number, readMs: number, remainingMs: number): boolean {
   if (!isHeavy) return false;
@@ -202,95 +210,24 @@
   return slackMs - fastest > 0 || remainingMs > readMs + WRITE_MS;
 }
 
-function chooseForLight(
-  job: EngineJob,
-  candidates: EngineLoad[],
-  readMs: number,
-  slackMs: number,
-  now: number,
-): Choice | undefined {
-  const cost = (load: EngineLoad): number => {
-    const isLate = load.getFirstEventMs(readMs, now) > slackMs;
-    const light = load.getLightCount(HEAVY_READ_MS);
-    const crowd = Math.max(0, light - LIGHT_TARGET) * CROWD_COST;
-    const empty = load.size === 0 ? OPEN_COST : 0;
-    const fill = (1 - Math.min(light, LIGHT_TARGET) / LIGHT_TARGET) * OPEN_COST;
-    const delay = load.getFirstEventMs(readMs, now) / job.objectiveMs;
-    const distance = load.engine.dataCentre === job.dataCentre ? 0 : DISTANCE_COST;
-    const own = isLate ? 1 + delay : delay * DELAY_COST;
-    return own + load.getHarm(readMs, now) + crowd + empty + fill + distance;
-  };
-  const best = getLeast(candidates, cost);
-  return best && { load: best, helpers: [], isClear: true };
-}
-
-function getHelpers(
-  job: EngineJob,
-  first: EngineLoad,
-  clear: EngineLoad[],
-  readMs: number,
-): EngineLoad[] {
-  const parts = Math.ceil(readMs / (job.objectiveMs * READ_SHARE));
-  return clear
-    .filter((load) => load !== first && load.engine.dataCentre === first.engine.dataCentre)
-    .slice(0, Math.min(MAX_HELPERS, parts - 1));
-}
-
-function assign(
-  job: EngineJob,
-  load: EngineLoad,
-  helpers: EngineLoad[],
-  readMs: number,
-  now: number,
-): EngineDecision {
+function assign(job: EngineJob, choice: Choice, readMs: number, now: number): EngineDecision {
+  const { load, helpers, heldTokens } = choice;
   const part = readMs / (helpers.length + 1);
-  load.add(job, part, now);
+  load.add(job, { readMs: part, heldTokens }, now);
   const help = { ...job, id: getHelpId(job.id) };
-  helpers.forEach((helper) => helper.add(help, part, now, true));
+  helpers.forEach((helper) =>
+    helper.load.add(help, { readMs: part, heldTokens: helper.heldTokens, isHelp: true }, now),
+  );
   return {
     kind: 'placed',
     engine: load.engine.id,
-    helpers: helpers.map(({ engine }) => engine.id),
+    helpers: helpers.map((helper) => ({
+      engine: helper.load.engine.id,
+      heldTokens: helper.heldTokens,
+    })),
   };
 }
 
-function chooseForHeavy(
-  job: EngineJob,
-  candidates: EngineLoad[],
-  readMs: number,
-  now: number,
-): Choice | undefined {
-  const clear = candidates.filter((load) => load.size === 0);
-  const near = getLeast(clear, ({ engine }) => Number(engine.dataCentre !== job.dataCentre));
-  if (near) return { load: near, helpers: getHelpers(job, near, clear, readMs), isClear: true };
-  const cost = (load: EngineLoad): number => {
-    const firstMs = load.getFirstEventMs(readMs, now);
-    const isLate = firstMs > job.objectiveMs * OBJECTIVE_SHARE;
-    return load.getHarm(readMs, now) + (isLate ? getWeight(readMs) : firstMs / job.objectiveMs);
-  };
-  const best = getLeast(candidates, cost);
-  if (!best) return undefined;
-  const firstMs = best.getFirstEventMs(readMs, now);
-  const isClear =
-    best.getHarm(readMs, now) === 0 &&
-    best.getLightCount(HEAVY_READ_MS) === 0 &&
-    firstMs < job.objectiveMs * OBJECTIVE_SHARE;
-  return { load: best, helpers: [], isClear };
-}
-
 function getHelpId(id: string): string {
   return `${id}/help`;
 }
-
-function getLeast<T>(items: T[], cost: (item: T) => number): T | undefined {
-  let best: T | undefined;
-  let least = Infinity;
-  for (const item of items) {
-    const value = cost(item);
-    if (value < least) {
-      least = value;
-      best = item;
-    }
-  }
-  return best;
-}
--- a/packages/scheduling/src/engines/index.ts
+++ b/packages/scheduling/src/engines/index.ts
@@ -1,5 +1,5 @@
 /** Engines that batch: a model of their passes, and where prompts of unlike lengths go. */
 export * from './EngineJob.js';
-export * from './EngineLoad.js';
+export type { EngineEntry } from './EngineLoad.js';
 export * from './EngineScheduler.js';
 export * from './PassModel.js';
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -113,6 +113,55 @@
   assert.notEqual(getEngineOf(decision), first);
 });
 
+const GIANT = { ...LONG, promptTokens: 900_000, remainingMs: 15_000 };
+
+test('a prompt beyond one engine is held by as few as possible and read by many', () => {
+  const { scheduler } = createScheduler(18);
+  const decision = scheduler.place(createJob('g', GIANT));
+  assert.ok(decision.kind === 'placed');
+  const held = decision.helpers.map(({ heldTokens }) => heldTokens);
+  assert.deepEqual(
+    held.filter((tokens) => tokens > 0),
+    [300_000, 300_000],
+  );
+  assert.equal(decision.helpers.length, 16);
+});
+
+test('a prompt beyond one engine waits until enough are clear, and takes nothing before', () => {
+  const { scheduler, decided } = createScheduler(3);
+  const job = { ...GIANT, promptTokens: 500_000, objectiveMs: 20_000, remainingMs: 30_000 };
+  const busy = [0, 1].map((index) =>
+    getEngineOf(scheduler.place(createJob(`l${index}`, { ...LONG, promptTokens: 150_000 }))),
+  );
+  assert.equal(scheduler.place(createJob('g', job)).kind, 'queued');
+  const other = scheduler.place(createJob('l2', { ...LONG, promptTokens: 40_000 }));
+  assert.ok(!busy.includes(getEngineOf(other)));
+  ['l0', 'l1', 'l2'].forEach((id) => scheduler.release(id));
+  assert.equal(decided.get('g')?.kind, 'placed');
+});
+
+test('memory of a held part is taken until the answer has ended', () => {
+  const { scheduler, decided } = createScheduler(2);
+  const job = { ...GIANT, promptTokens: 600_000, objectiveMs: 60_000, remainingMs: 90_000 };
+  assert.equal(scheduler.place(createJob('g', job)).kind, 'placed');
+  scheduler.markWriting('g');
+  assert.equal(scheduler.place(createJob('l', { ...LONG, promptTokens: 200_000 })).kind, 'queued');
+  scheduler.release('g');
+  assert.equal(decided.get('l')?.kind, 'placed');
+});
+
+test('a prompt beyond the memory of all engines is refused at once', () => {
+  const { scheduler } = createScheduler(2);
+  assert.equal(scheduler.place(createJob('g', GIANT)).kind, 'refused');
+});
+
+test('a new scheduler learns of held memory from those that run', () => {
+  const { scheduler } = createScheduler(2);
+  const help = { engine: 'e1', heldTokens: 300_000 };
+  scheduler.adopt(createJob('g', { ...GIANT, promptTokens: 600_000 }), 'e0', [help], true);
+  assert.equal(scheduler.place(createJob('l', { ...LONG, promptTokens: 200_000 })).kind, 'queued');
+});
+
 /** Long prompts flood in beside a trickle of short ones, then the other way round. */
 function getFlood(): Arrival[] {
   const arrivals: Arrival[] = [];
--- a/packages/scheduling/tests/engines/EngineSimulation.ts
+++ b/packages/scheduling/tests/engines/EngineSimulation.ts
@@ -97,7 +97,7 @@
     if (!arrival || decision.kind !== 'placed') return;
     const parts = 1 + decision.helpers.length;
     const unreadMs = this.model.getReadMs(arrival.job.promptTokens) / parts;
-    [decision.engine, ...decision.helpers].forEach((engine, index) => {
+    [decision.engine, ...decision.helpers.map((help) => help.engine)].forEach((engine, index) => {
       this.engines.get(engine)?.jobs.push(new Running(arrival, index > 0, unreadMs));
     });
   }
