Elect at once after a restart, vouch for entries by term, cut the log by bytes

Entry processes also saw versions 4, 7, 9 and so on: a follower counted itself caught up with the commit position 0 of a new leader. Ruled out: slow disks (synced within a millisecond), slow links.

Requests that come while no configuration is known are still refused and come back; that is next.

--- a/packages/consensus/src/replica/Election.ts
+++ b/packages/consensus/src/replica/Election.ts
@@ -59,8 +59,7 @@
 
   private isStillWanted(): boolean {
     const { state } = this.options;
-    const silence = state.options.now() - state.heardAt;
-    return state.role !== 'leader' && silence >= state.options.timings.electionTimeoutMs;
+    return state.role !== 'leader' && state.options.now() >= state.trustedUntil;
   }
 
   private async collectVotes(term: number, preVote: boolean): Promise<boolean> {
--- a/packages/consensus/src/replica/Follower.ts
+++ b/packages/consensus/src/replica/Follower.ts
@@ -42,7 +42,7 @@
     await this.takeEntries(request.entries.filter((entry) => entry.index > first));
     const lastIndex = request.previousIndex + request.entries.length;
     state.commitTo(Math.min(request.commitIndex, lastIndex));
-    if (state.appliedIndex >= request.commitIndex) state.isCaughtUp = true;
+    state.noteCaughtUp(request.commitIndex, request.term);
     return { term: state.term, success: true, matchIndex: lastIndex };
   }
 
@@ -63,7 +63,7 @@
   private isLeaderTrusted(): boolean {
     const { state } = this;
     if (state.role === 'leader') return true;
-    return state.options.now() - state.heardAt < state.options.timings.electionTimeoutMs;
+    return state.options.now() < state.trustedUntil;
   }
 
   private isUpToDate(request: VoteRequest): boolean {
@@ -90,8 +90,7 @@
     if (state.role === 'leader') state.fail(`two leaders in term ${term}`);
     state.setRole('follower');
     state.leaderId = leader;
-    state.heardAt = state.options.now();
-    state.resetElectionTimer();
+    state.trustLeader();
   }
 
   private async takeEntries(entries: LogEntry[]): Promise<void> {
--- a/packages/consensus/src/replica/Replica.ts
+++ b/packages/consensus/src/replica/Replica.ts
@@ -33,8 +33,15 @@
   timings?: Partial<Timings>;
   /** Number of applied entries after which a snapshot is taken. */
   snapshotEvery?: number;
+  /** Bytes of the stored log beyond which a snapshot is taken earlier. */
+  snapshotBytes?: number;
   /** Voters beyond which newcomers stay learners until a voter falls silent; unlimited if absent. */
   targetVoters?: number;
+  /**
+   * False when the host never asks for `hasLease`: after a restart the replica then votes at once
+   * instead of waiting until a lease that it may have helped to grant is over.
+   */
+  usesLeases?: boolean;
   /** Monotonic clock in milliseconds; must go on while the process is frozen. */
   now?: () => number;
   random?: () => number;
@@ -47,6 +54,7 @@
 }
 
 const SNAPSHOT_EVERY = 2000;
+const SNAPSHOT_BYTES = 64 * 1024 * 1024;
 
 /** One replica of a replicated log. */
 export class Replica {
@@ -63,7 +71,9 @@
       machine: options.machine,
       timings: { ...DEFAULT_TIMINGS, ...options.timings },
       snapshotEvery: options.snapshotEvery ?? SNAPSHOT_EVERY,
+      snapshotBytes: options.snapshotBytes ?? SNAPSHOT_BYTES,
       targetVoters: options.targetVoters ?? Infinity,
+      usesLeases: options.usesLeases ?? true,
       now: options.now ?? (() => performance.now()),
       random: options.random ?? Math.random,
       onEvent: options.onEvent ?? (() => {}),
--- a/packages/consensus/src/replica/ReplicaState.ts
+++ b/packages/consensus/src/replica/ReplicaState.ts
@@ -15,8 +15,12 @@
   machine: StateMachine;
   timings: Timings;
   snapshotEvery: number;
+  /** Bytes of the stored log beyond which a snapshot is taken. */
+  snapshotBytes: number;
   /** Number of voters beyond which newcomers stay learners until a voter falls silent. */
   targetVoters: number;
+  /** True when the host relies on `hasLease`, which a restart must not cut short. */
+  usesLeases: boolean;
   now: () => number;
   random: () => number;
   onEvent: (event: ReplicaEvent) => void;
@@ -25,8 +29,13 @@
 /** Receives the result of each applied entry. */
 type AppliedListener = (entry: LogEntry, result: unknown) => void;
 
+/** Part of the usual delay after which a replica that has just started may campaign. */
+const FIRST_ELECTION_SHARE = 0.3;
+
 /** Entries kept behind a snapshot, so that a member slightly behind needs no snapshot. */
 const TRAILING_ENTRIES = 500;
+/** Part of the bytes of a full log that such entries may take. */
+const TRAILING_SHARE = 0.25;
 
 /**
  * Term, role, log and commit position of a replica. Durable changes run inside `mutex`.
@@ -41,9 +50,12 @@
 
   leaderId: string | undefined;
 
-  /** Time of the last message from a leader; a restart counts as one, so no lease is cut short. */
+  /** Time of the last message from a leader, or of the start. */
   heardAt: number;
 
+  /** Time until which no other leader is voted for. */
+  trustedUntil = 0;
+
   electionAt = 0;
 
   /** True once everything is applied that a leader has told to be committed since the start. */
@@ -69,7 +81,8 @@
 
   constructor(readonly options: ReplicaStateOptions) {
     this.heardAt = options.now();
-    this.resetElectionTimer();
+    if (options.usesLeases) this.trustLeader();
+    else this.electionAt = this.heardAt + this.getElectionDelay() * FIRST_ELECTION_SHARE;
   }
 
   /** Loads what storage holds. */
@@ -153,9 +166,26 @@
     };
   }
 
+  /** Votes for no other leader until the election timeout is over. */
+  trustLeader(): void {
+    this.heardAt = this.options.now();
+    this.trustedUntil = this.heardAt + this.options.timings.electionTimeoutMs;
+    this.resetElectionTimer();
+  }
+
   resetElectionTimer(): void {
-    const { electionTimeoutMs } = this.options.timings;
-    this.electionAt = this.options.now() + electionTimeoutMs * (1 + this.options.random());
+    this.electionAt = this.options.now() + this.getElectionDelay();
+  }
+
+  /**
+   * Notes that a leader's commit position is applied. It vouches for all earlier entries only once
+   * it covers an entry of the leader's own term.
+   */
+  noteCaughtUp(commitIndex: number, leaderTerm: number): void {
+    if (this.isCaughtUp || this.appliedIndex < commitIndex) return;
+    if (this.log.getTerm(commitIndex) !== leaderTerm) return;
+    this.isCaughtUp = true;
+    this.changed.notify();
   }
 
   /** Stops the replica because going on would do harm. */
@@ -167,6 +197,10 @@
     throw new FatalFault(reason, { cause });
   }
 
+  private getElectionDelay(): number {
+    return this.options.timings.electionTimeoutMs * (1 + this.options.random());
+  }
+
   private async persist(operation: () => Promise<void>): Promise<void> {
     if (this.isStopped) throw new FatalFault('the replica has stopped');
     try {
@@ -200,7 +234,10 @@
   }
 
   private takeSnapshotWhenDue(): void {
-    if (this.appliedIndex - this.snapshotIndex < this.options.snapshotEvery) return;
+    const { snapshotEvery, snapshotBytes, storage } = this.options;
+    const count = this.appliedIndex - this.snapshotIndex;
+    const isLarge = storage.getLogBytes() > snapshotBytes;
+    if (count === 0 || (count < snapshotEvery && !isLarge)) return;
     this.snapshotIndex = this.appliedIndex;
     this.mutex.run(() => this.saveOwnSnapshot()).catch(() => undefined);
   }
@@ -208,12 +245,25 @@
   private async saveOwnSnapshot(): Promise<void> {
     const snapshot = this.takeSnapshot();
     await this.persist(() => this.options.storage.saveSnapshot(snapshot));
-    this.log.trimTo(Math.max(this.log.firstIndex, snapshot.index - TRAILING_ENTRIES));
+    this.log.trimTo(this.getTrimIndex(snapshot.index));
     await this.persist(() => this.options.storage.replaceEntries(this.log.getAll()));
     const { index, state } = snapshot;
     this.options.onEvent({ kind: 'snapshot', index, bytes: state.length });
   }
 
+  /** Keeps what members slightly behind may need, within a part of the bytes of a full log. */
+  private getTrimIndex(snapshotIndex: number): number {
+    const { log } = this;
+    let index = Math.max(log.firstIndex, snapshotIndex);
+    let bytes = 0;
+    while (index > log.firstIndex && snapshotIndex - index < TRAILING_ENTRIES) {
+      bytes += log.getEntry(index)?.payload.length ?? 0;
+      if (bytes > this.options.snapshotBytes * TRAILING_SHARE) break;
+      index -= 1;
+    }
+    return index;
+  }
+
   private adoptSnapshot(snapshot: Snapshot): void {
     this.options.machine.restore(snapshot.state);
     this.log.reset(snapshot.index, snapshot.term);
--- /dev/null
+++ b/packages/consensus/tests/replica/restart.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FileStorage, Replica } from '../../src/index.js';
+import type { AppendRequest, LogEntry, VoteRequest } from '../../src/index.js';
+import { MemoryDisk } from '../storage/MemoryDisk.js';
+import { Cluster } from './Cluster.js';
+import { TextList } from './TextList.js';
+
+/** A disk that holds a log of two entries in term 1. */
+async function createStoredLog(): Promise<MemoryDisk> {
+  const disk = new MemoryDisk();
+  const storage = new FileStorage(disk);
+  await storage.load();
+  await storage.saveBallot({ term: 1, votedFor: undefined });
+  const payload = Buffer.from('old');
+  await storage.append([
+    { index: 1, term: 1, kind: 'command', payload },
+    { index: 2, term: 1, kind: 'command', payload },
+  ]);
+  await storage.close();
+  return disk;
+}
+
+async function startReplica(
+  disk: MemoryDisk,
+  options: { usesLeases?: boolean; snapshotBytes?: number } = {},
+): Promise<Replica> {
+  const replica = new Replica({
+    id: 'b',
+    name: 'b',
+    address: 'b',
+    storage: new FileStorage(disk),
+    machine: new TextList(),
+    network: new Cluster('b'),
+    ...options,
+  });
+  await replica.start();
+  return replica;
+}
+
+function createAppend(commitIndex: number, entries: LogEntry[] = []): AppendRequest {
+  return {
+    to: 'b',
+    term: 2,
+    leader: 'a',
+    previousIndex: 2,
+    previousTerm: 1,
+    commitIndex,
+    entries,
+  };
+}
+
+test('a new leader vouches for earlier entries only with one of its own', async () => {
+  const replica = await startReplica(await createStoredLog());
+  await replica.append(createAppend(0));
+  assert.equal(replica.isRecent(10_000), false);
+  await replica.append(createAppend(1));
+  assert.equal(replica.isRecent(10_000), false);
+  const opening: LogEntry = { index: 3, term: 2, kind: 'noop', payload: Buffer.alloc(0) };
+  await replica.append(createAppend(3, [opening]));
+  assert.equal(replica.isRecent(10_000), true);
+  await replica.stop();
+});
+
+const CANDIDACY: VoteRequest = {
+  to: 'b',
+  term: 2,
+  candidate: 'a',
+  lastIndex: 2,
+  lastTerm: 1,
+  preVote: false,
+};
+
+test('a replica that granted a lease before its restart does not vote at once', async () => {
+  const replica = await startReplica(await createStoredLog());
+  assert.equal((await replica.vote(CANDIDACY)).granted, false);
+  await replica.stop();
+});
+
+test('without leases a restarted replica votes at once', async () => {
+  const replica = await startReplica(await createStoredLog(), { usesLeases: false });
+  assert.equal((await replica.vote(CANDIDACY)).granted, true);
+  await replica.stop();
+});
+
+test('a log of large commands is cut by its bytes', async () => {
+  const replica = await startReplica(new MemoryDisk(), { snapshotBytes: 20_000 });
+  await replica.bootstrap();
+  while (replica.role !== 'leader') await replica.waitForChange(20);
+  for (let index = 0; index < 50; index += 1) await replica.propose(Buffer.alloc(2000, 'x'));
+  await replica.waitForChange(50);
+  assert.ok(replica.logBytes < 40_000, `${replica.logBytes} bytes`);
+  await replica.stop();
+});
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -19,7 +19,7 @@
 import { UpstreamTable } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfiguration } from '../configuration/index.js';
-import type { Configuration, ConfigurationCodec } from '../configuration/index.js';
+import type { ConfigurationCodec } from '../configuration/index.js';
 import { LinkServer, listenAt } from '../links/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { getSeedLinks } from '../settings/index.js';
@@ -60,6 +60,8 @@
 /** Milliseconds between two looks whether entry processes lack the configuration. */
 const PUSH_MS = 60;
 const SNAPSHOT_EVERY = 200;
+/** Bytes of the log that fit beside its copy on the smallest disk in use, 128 MB. */
+const SNAPSHOT_BYTES = 16 * 1024 * 1024;
 /** Silence of the leader in milliseconds up to which the configuration is given to entries. */
 const RECENT_MS = 1500;
 
@@ -77,8 +79,6 @@
 
   private readonly placement: PlacementService;
 
-  private configuration: Configuration | undefined;
-
   private readonly links: LinkServer;
 
   private readonly server: Server;
@@ -102,7 +102,10 @@
     const now = (): number => performance.now();
     this.self = `${settings.host}:${settings.linkPort}`;
     this.seeds = getSeedLinks(settings);
-    this.state = new ConfigurationState(() => this.adoptConfiguration());
+    this.state = new ConfigurationState({
+      codec: options.codec,
+      onChanged: () => this.feed.pushConfiguration(),
+    });
     this.table = new UpstreamTable({ now });
     this.feed = new Feed({
       state: this.state,
@@ -113,7 +116,7 @@
     });
     this.placement = new PlacementService({
       table: this.table,
-      getConfiguration: () => this.configuration,
+      getConfiguration: () => this.state.configuration,
       isLeader: () => this.replica?.role === 'leader',
       logger,
     });
@@ -257,12 +260,6 @@
     return this.mesh.getLink(leader).call(method, body, QUORUM_TIMEOUT_MS);
   }
 
-  private adoptConfiguration(): void {
-    const { current } = this.state;
-    this.configuration = current && this.options.codec.decode(current.document);
-    this.feed.pushConfiguration();
-  }
-
   private addHandlers(): void {
     this.placement.addHandlers(this.handlers);
     const add = <T>(method: string, handler: (body: T, link: Link) => unknown): void => {
@@ -335,6 +332,9 @@
       network: new LinkPeers(this.mesh),
       timings: TIMINGS,
       snapshotEvery: SNAPSHOT_EVERY,
+      snapshotBytes: SNAPSHOT_BYTES,
+      // Reads and writes ask a quorum each time.
+      usesLeases: false,
       targetVoters: 2 * settings.toleratedLosses + 1,
       onEvent: (event) => this.onReplicaEvent(event),
     });
@@ -401,11 +401,16 @@
   /** The configuration becomes recent with time alone, when a quorum is found again. */
   private async runPushes(): Promise<void> {
     while (!this.isStopped) {
-      await sleep(PUSH_MS);
+      await this.waitForChange();
       this.feed.pushConfiguration();
     }
   }
 
+  private async waitForChange(): Promise<void> {
+    if (this.replica) await this.replica.waitForChange(PUSH_MS);
+    else await sleep(PUSH_MS);
+  }
+
   private shareHeard(): void {
     const records = [...this.heard].flatMap((id) => this.table.getUpstream(id) ?? []);
     this.heard = new Set();
