Let requests wait for the first configuration right after a start

Ruled out: a later Retry-After (the client has one more try whenever it comes), waiting at any time (a process without control can't tell when it will end, so after 1.5 s from the start all is refused at once). Change: StartGate, used for the configuration and for unknown upstreams. Routes are looked up by prefix in a map instead of a search over all.

--- a/packages/gateway/src/configuration/RoutingTable.ts
+++ b/packages/gateway/src/configuration/RoutingTable.ts
@@ -2,7 +2,8 @@
 
 /** A configuration indexed for lookups by request. */
 export class RoutingTable {
-  private readonly routesByHost = new Map<string, Route[]>();
+  /** Routes by host and prefix. */
+  private readonly routes = new Map<string, Map<string, Route>>();
 
   private readonly services: Map<string, Service>;
 
@@ -11,10 +12,10 @@
   constructor(readonly configuration: Configuration) {
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
-      this.routesByHost.set(host, [...(this.routesByHost.get(host) ?? []), route]);
+      const byPrefix = this.routes.get(host) ?? new Map<string, Route>();
+      byPrefix.set(route.pathPrefix, route);
+      this.routes.set(host, byPrefix);
     }
-    for (const routes of this.routesByHost.values())
-      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     this.services = new Map(configuration.services.map((service) => [service.name, service]));
     for (const customer of configuration.customers ?? []) {
       customer.keys.forEach((key) => this.customersByKey.set(key, customer));
@@ -32,8 +33,14 @@
 
   /** Gets the route with the longest prefix that begins the path. */
   getRoute(host: string, path: string): Route | undefined {
-    const routes = this.routesByHost.get(host.toLowerCase().replace(/:\d+$/, ''));
-    return routes?.find((route) => path.startsWith(route.pathPrefix));
+    const routes = this.routes.get(host.toLowerCase().replace(/:\d+$/, ''));
+    if (!routes) return undefined;
+    // Every prefix ends with a slash, so only the parts of the path up to one can be prefixes.
+    for (let end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route || end === 0) return route;
+    }
+    return undefined;
   }
 
   getCustomer(key: string): Customer | undefined {
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -13,6 +13,7 @@
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { RequestTask } from './RequestTask.js';
 import { ScheduledPlacer } from './ScheduledPlacer.js';
+import { StartGate } from './StartGate.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
 import { View } from './View.js';
@@ -41,6 +42,8 @@
 
   private readonly health = new UpstreamHealth();
 
+  private readonly gate = new StartGate();
+
   private readonly registry = new Registry();
 
   private readonly front: Server;
@@ -109,12 +112,12 @@
   }
 
   private createPlacer(): ScheduledPlacer {
-    const { view, health, links } = this;
+    const { view, health, links, gate } = this;
     const { dataCentre } = this.options.settings;
     return new ScheduledPlacer({
       view,
       mesh: links.mesh,
-      fallback: new LeastLoadedPlacer({ view, health, dataCentre }),
+      fallback: new LeastLoadedPlacer({ view, health, gate, dataCentre }),
       dataCentre,
       logger: this.options.logger,
     });
@@ -134,7 +137,15 @@
       this.open -= 1;
     });
     const exchange = new Exchange(request, response, () => this.isLeaving);
-    this.task.run(exchange, this.view.routing);
+    this.serve(exchange).catch((error: unknown) =>
+      this.options.logger.error({ err: error }, 'request failed'),
+    );
+  }
+
+  private async serve(exchange: Exchange): Promise<void> {
+    const { view, gate } = this;
+    const routing = view.routing ?? (await gate.wait(() => view.routing, exchange.left));
+    await this.task.run(exchange, routing);
   }
 
   private answerProbe(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -1,5 +1,6 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Placement, PlacementRequest, Placer, Reservation } from './Placement.js';
+import type { StartGate } from './StartGate.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
 import type { View } from './View.js';
 
@@ -7,6 +8,8 @@
 export interface LeastLoadedPlacerOptions {
   view: View;
   health: UpstreamHealth;
+  /** Lets requests wait while the upstreams are not known yet. */
+  gate: StartGate;
   dataCentre: string;
   /** Gets numbers from 0 to 1, which spread requests over equal upstreams. */
   random?: () => number;
@@ -23,7 +26,20 @@
 export class LeastLoadedPlacer implements Placer {
   constructor(private readonly options: LeastLoadedPlacerOptions) {}
 
-  async place(request: PlacementRequest): Promise<Placement> {
+  async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
+    const { gate } = this.options;
+    const upstream = await gate.wait(() => this.choose(request), signal);
+    if (upstream) return { kind: 'placed', upstream, helpers: [] };
+    return { kind: 'refused', reason: 'no upstream', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  reserve(_request: PlacementRequest, upstream: UpstreamRecord): Reservation {
+    const { health } = this.options;
+    health.start(upstream.id);
+    return { addProgress: () => undefined, release: () => health.finish(upstream.id) };
+  }
+
+  private choose(request: PlacementRequest): UpstreamRecord | undefined {
     const { view, health } = this.options;
     const ready = view.table.getReady(request.service);
     const fresh = ready.filter(({ id }) => !request.excluded.has(id));
@@ -32,14 +48,7 @@
     const [best] = candidates
       .map((upstream) => ({ upstream, cost: this.getCost(upstream) }))
       .sort((a, b) => a.cost - b.cost);
-    if (!best) return { kind: 'refused', reason: 'no upstream', retryAfterMs: RETRY_AFTER_MS };
-    return { kind: 'placed', upstream: best.upstream, helpers: [] };
-  }
-
-  reserve(_request: PlacementRequest, upstream: UpstreamRecord): Reservation {
-    const { health } = this.options;
-    health.start(upstream.id);
-    return { addProgress: () => undefined, release: () => health.finish(upstream.id) };
+    return best?.upstream;
   }
 
   private getCost(upstream: UpstreamRecord): number {
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -61,12 +61,12 @@
   async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
     const { view, fallback } = this.options;
     const hasEngine = view.routing?.getService(request.service)?.engine !== undefined;
-    if (!hasEngine || request.promptTokens === 0) return fallback.place(request);
+    if (!hasEngine || request.promptTokens === 0) return fallback.place(request, signal);
     const link = this.getScheduler();
-    if (!link) return this.placeAlone(request);
+    if (!link) return this.placeAlone(request, signal);
     const job = this.createJob(request);
     const decision = await this.ask(link, job, signal);
-    if (!decision) return this.placeAlone(request);
+    if (!decision) return this.placeAlone(request, signal);
     if (decision.kind === 'refused')
       return {
         kind: 'refused',
@@ -78,7 +78,7 @@
     const upstream = view.table.getUpstream(decision.engine);
     if (!upstream || upstream.state !== 'ready') {
       tellRelease(link, { id: job.id });
-      return this.placeAlone(request);
+      return this.placeAlone(request, signal);
     }
     const { helpers } = decision;
     this.jobs.set(job.id, { job, upstream: upstream.id, helpers, isWriting: false, link });
@@ -111,10 +111,10 @@
     }
   }
 
-  private async placeAlone(request: PlacementRequest): Promise<Placement> {
+  private async placeAlone(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
     if (this.needsSeveral(request))
       return { kind: 'refused', reason: 'no scheduler', retryAfterMs: RETRY_AFTER_MS };
-    const placement = await this.options.fallback.place(request);
+    const placement = await this.options.fallback.place(request, signal);
     if (placement.kind !== 'placed') return placement;
     const job = this.createJob(request);
     const link = this.getScheduler();
--- a/packages/gateway/tests/entry/startFront.ts
+++ b/packages/gateway/tests/entry/startFront.ts
@@ -8,6 +8,7 @@
 import { LeastLoadedPlacer } from '../../src/entry/LeastLoadedPlacer.js';
 import { RequestTask } from '../../src/entry/RequestTask.js';
 import { SharedRetryBudget } from '../../src/entry/SharedRetryBudget.js';
+import { StartGate } from '../../src/entry/StartGate.js';
 import { UpstreamHealth } from '../../src/entry/UpstreamHealth.js';
 import { View } from '../../src/entry/View.js';
 import type { DispatchTerms, Wire } from '../../src/entry/Wire.js';
@@ -97,7 +98,13 @@
   });
   const task = new RequestTask({
     wire,
-    placer: new LeastLoadedPlacer({ view, health, dataCentre: 'near', random: () => 0 }),
+    placer: new LeastLoadedPlacer({
+      view,
+      health,
+      gate: new StartGate({ openForMs: 0 }),
+      dataCentre: 'near',
+      random: () => 0,
+    }),
     health,
     agent,
     metrics: new EntryMetrics(new Registry(), view, () => 0),
