Keep a standby scheduler that knows all placements

Ruled out: broadcasts of loads to every entry process (bytes grow with entries times engines), waiting longer for the leader. Change: entry processes tell the next control process in the cluster's order of every placement; it decides when the leader is silent, both within an eighth of the objective, for late requests of the time left. Cluster notices carry the term. Requests' log lines tell first event, pauses and who decided. The test that a process which leads again remembers nothing is replaced: schedulers no longer forget at an election, entry processes withdraw their jobs from those they leave.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -117,7 +117,6 @@
     this.placement = new PlacementService({
       table: this.table,
       getConfiguration: () => this.state.configuration,
-      isLeader: () => this.replica?.role === 'leader',
       logger,
     });
     this.mesh = new Mesh({
@@ -317,7 +316,8 @@
 
   private getCluster() {
     const members = this.replica?.getMembers().map((member) => member.address) ?? [];
-    return { members, leader: this.replica?.getLeaderAddress() ?? null };
+    const leader = this.replica?.getLeaderAddress() ?? null;
+    return { members, leader, term: this.replica?.term ?? 0 };
   }
 
   private async openReplica(): Promise<void> {
@@ -356,7 +356,6 @@
   private onReplicaEvent(event: ReplicaEvent): void {
     this.options.logger.info(event, 'replica');
     if (event.kind === 'role') {
-      this.placement.reset();
       this.feed.pushCluster();
     }
     if (event.kind === 'fatal') this.reopen().catch(() => undefined);
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -12,7 +12,6 @@
   table: UpstreamTable;
   /** Gets the configuration that is in force. */
   getConfiguration: () => Configuration | undefined;
-  isLeader: () => boolean;
   logger: Logger;
 }
 
@@ -25,8 +24,9 @@
 const TICK_MS = 20;
 
 /**
- * Places prompts for all entry processes while this process leads.
- * @remarks Its knowledge is soft: entry processes tell a new leader what they have running.
+ * Places prompts for the entry processes that ask this process.
+ * @remarks Its knowledge is soft: entry processes tell each process that they choose what they
+ * have running, and withdraw it when they choose another.
  */
 export class PlacementService {
   private readonly schedulers = new Map<string, EngineScheduler>();
@@ -45,12 +45,6 @@
     clearInterval(this.timer);
   }
 
-  /** Forgets everything: what entry processes do under another leader is not told here. */
-  reset(): void {
-    this.schedulers.clear();
-    this.jobs.clear();
-  }
-
   addHandlers(handlers: Map<string, CallHandler>): void {
     handlers.set(METHODS.place, (body, link) => this.place(body as EngineJob, link));
   }
@@ -68,7 +62,6 @@
   }
 
   private place(job: EngineJob, link: Link): EngineDecision {
-    if (!this.options.isLeader()) throw new Error('not the leader');
     const scheduler = this.getScheduler(job.service);
     if (!scheduler) throw new Error(`no engines known for service ${job.service}`);
     this.follow(link);
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -67,6 +67,8 @@
   /** `host:port` for links of each member. */
   members: string[];
   leader: string | null;
+  /** Term in which the leader was elected; an older one is not believed. */
+  term: number;
   entries: number;
 }
 
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -74,7 +74,7 @@
   }
 
   private adoptCluster(notice: ClusterNotice): void {
-    this.options.view.cluster.next(notice);
+    this.options.view.adoptCluster(notice);
     this.retain();
   }
 
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -13,6 +13,7 @@
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { RequestTask } from './RequestTask.js';
 import { ScheduledPlacer } from './ScheduledPlacer.js';
+import { Schedulers } from './Schedulers.js';
 import { StartGate } from './StartGate.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
@@ -116,7 +117,7 @@
     const { dataCentre } = this.options.settings;
     return new ScheduledPlacer({
       view,
-      mesh: links.mesh,
+      schedulers: new Schedulers({ view, mesh: links.mesh }),
       fallback: new LeastLoadedPlacer({ view, health, gate, dataCentre }),
       dataCentre,
       logger: this.options.logger,
--- a/packages/gateway/src/entry/Job.ts
+++ b/packages/gateway/src/entry/Job.ts
@@ -13,6 +13,14 @@
   body: Buffer;
 }
 
+/** Where an attempt went, for logs. */
+export interface PlacementSummary {
+  upstream: string;
+  helpers: number;
+  /** True when a scheduler that sees all requests decided it. */
+  isScheduled: boolean;
+}
+
 /** A request on its way through one or more attempts at upstreams. */
 export class Job {
   /** Monotonic time in milliseconds at which the final answer is due. */
@@ -24,6 +32,16 @@
   /** Id of the last event that the client has. */
   lastEventId: string | undefined;
 
+  /** Milliseconds from the arrival to the first event that reached the client. */
+  firstEventMs: number | undefined;
+
+  /** Longest time in milliseconds between two events. */
+  longestPauseMs = 0;
+
+  private placement: PlacementSummary | undefined;
+
+  private lastEventAt = 0;
+
   private readonly excluded = new Set<string>();
 
   private readonly timeout: NodeJS.Timeout;
@@ -60,6 +78,11 @@
     return this.options.body;
   }
 
+  /** Tokens of the prompt; 0 for requests without one. */
+  get promptTokens(): number {
+    return this.options.terms.promptTokens ?? 0;
+  }
+
   get attemptId(): string | undefined {
     return this.options.terms.attemptId;
   }
@@ -111,6 +134,23 @@
     this.runCount -= 1;
   }
 
+  /** Where the last attempt went and who decided it, for logs. */
+  get lastPlacement(): PlacementSummary | undefined {
+    return this.placement;
+  }
+
+  addPlacement(placement: PlacementSummary): void {
+    this.placement = placement;
+  }
+
+  /** Notes that events have come from the upstream. */
+  addProgress(): void {
+    const now = performance.now();
+    if (this.firstEventMs === undefined) this.firstEventMs = now - this.exchange.startedAt;
+    else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
+    this.lastEventAt = now;
+  }
+
   /** Gets what decides on the next upstream. */
   getPlacementRequest(): PlacementRequest {
     const { terms, route } = this.options;
@@ -118,7 +158,7 @@
       requestId: terms.attemptId ?? '',
       service: this.service,
       route,
-      promptTokens: terms.promptTokens ?? 0,
+      promptTokens: this.promptTokens,
       answerTokens: terms.answerTokens ?? 0,
       remainingMs: this.remainingMs,
       waitedMs: this.exchange.elapsedMs,
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -28,7 +28,14 @@
 
 /** Where a request goes, or why it goes nowhere. */
 export type Placement =
-  | { kind: 'placed'; upstream: UpstreamRecord; helpers: PlacedHelper[]; jobId?: string }
+  | {
+      kind: 'placed';
+      upstream: UpstreamRecord;
+      helpers: PlacedHelper[];
+      jobId?: string;
+      /** True when a scheduler that sees all requests decided it. */
+      isScheduled?: boolean;
+    }
   | { kind: 'refused'; reason: string; retryAfterMs: number };
 
 /** What is told of a placed request while it runs. */
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -150,7 +150,8 @@
     const request = job.getPlacementRequest();
     const placement = await placer.place(request, job.signal);
     if (placement.kind === 'refused') return placement;
-    const { upstream, helpers, jobId } = placement;
+    const { upstream, helpers, jobId, isScheduled = false } = placement;
+    job.addPlacement({ upstream: upstream.id, helpers: helpers.length, isScheduled });
     const reserved = placer.reserve(request, upstream, jobId);
     const memory = job.signal.aborted
       ? undefined
@@ -195,6 +196,7 @@
     return {
       release: (isBroken) => reserved.release(isBroken),
       addProgress: () => {
+        job.addProgress();
         if (hasEvent) return;
         hasEvent = true;
         reserved.addProgress();
@@ -215,9 +217,13 @@
         version,
         outcome: result,
         status: job.exchange.response.statusCode,
+        promptTokens: job.promptTokens,
+        ...job.lastPlacement,
+        firstEventMs: round(job.firstEventMs),
+        longestPauseMs: round(job.longestPauseMs),
         sends: job.sends,
         runs: job.runs,
-        elapsedMs: Math.round(job.exchange.elapsedMs),
+        elapsedMs: round(job.exchange.elapsedMs),
       },
       'request ended',
     );
@@ -235,6 +241,10 @@
   } else exchange.reply(job.signal.aborted ? 504 : 502, outcome.reason);
 }
 
+function round(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** Gets the milliseconds that requests of a route may need while a process is leaving. */
 function getLongestRun(route: Route): number {
   return route.kind === 'stream' ? Math.min(STREAM_RUN_MS, route.timeoutMs) : CALL_RUN_MS;
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -1,11 +1,11 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { EngineDecision, EngineHelp, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
-import type { Mesh } from '../control/Mesh.js';
 import { METHODS } from '../control/messages.js';
-import type { AdoptNotice, JobNotice, PlacedNotice } from '../control/messages.js';
+import type { PlacedNotice } from '../control/messages.js';
 import type { Link, Notice } from '../links/index.js';
 import type { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
+import { PlacedJobs, tellRelease } from './PlacedJobs.js';
 import type {
   PlacedHelper,
   Placement,
@@ -13,40 +13,34 @@
   Placer,
   Reservation,
 } from './Placement.js';
+import type { Schedulers } from './Schedulers.js';
 import type { View } from './View.js';
 
 /** What the placer needs. */
 export interface ScheduledPlacerOptions {
   view: View;
-  mesh: Mesh;
+  schedulers: Schedulers;
   /** Decides while no scheduler answers, and for services without engines. */
   fallback: LeastLoadedPlacer;
   dataCentre: string;
   logger: Logger;
 }
 
-interface OwnJob extends AdoptNotice {
-  /** The link on which the scheduler knows the job. */
-  link: Link | undefined;
-}
-
 interface WaitingJob {
   link: Link;
   resolve: (decision: EngineDecision | undefined) => void;
 }
 
-/** Part of the objective after which a silent scheduler is not waited for. */
+/** Part of the objective for which silent schedulers are waited for, all together. */
 const SILENCE_SHARE = 0.125;
 const MAX_SILENCE_MS = 250;
-/** Silence of a link in milliseconds after which its other side is not asked. */
-const SUSPECT_MS = 900;
-/** Milliseconds for which a scheduler that did not answer is not asked. */
-const PAUSE_MS = 400;
+/** Part of that time for which the first one is waited for. */
+const FIRST_SILENCE_SHARE = 0.65;
 const RETRY_AFTER_MS = 400;
 
-/** Lets the leading control process place prompts, and decides alone at once while it is silent. */
+/** Lets a scheduler place prompts, and decides alone at once while none answers. */
 export class ScheduledPlacer implements Placer {
-  private readonly jobs = new Map<string, OwnJob>();
+  private readonly jobs = new PlacedJobs();
 
   private readonly waiting = new Map<string, WaitingJob>();
 
@@ -54,35 +48,20 @@
 
   private nextId = 1;
 
-  private pausedUntil = 0;
-
   constructor(private readonly options: ScheduledPlacerOptions) {}
 
   async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
-    const { view, fallback } = this.options;
+    const { view, fallback, schedulers } = this.options;
     const hasEngine = view.routing?.getService(request.service)?.engine !== undefined;
     if (!hasEngine || request.promptTokens === 0) return fallback.place(request, signal);
-    const link = this.getScheduler();
-    if (!link) return this.placeAlone(request, signal);
     const job = this.createJob(request);
-    const decision = await this.ask(link, job, signal);
-    if (!decision) return this.placeAlone(request, signal);
-    if (decision.kind === 'refused')
-      return {
-        kind: 'refused',
-        reason: decision.reason,
-        retryAfterMs: decision.retryAfterMs,
-      };
-    if (decision.kind === 'queued')
-      return { kind: 'refused', reason: 'time is over', retryAfterMs: RETRY_AFTER_MS };
-    const upstream = view.table.getUpstream(decision.engine);
-    if (!upstream || upstream.state !== 'ready') {
-      tellRelease(link, { id: job.id });
-      return this.placeAlone(request, signal);
+    let silenceShare = FIRST_SILENCE_SHARE;
+    for (const link of this.followSchedulers().filter((each) => !schedulers.isPaused(each))) {
+      const decision = await this.ask(link, job, silenceShare, signal);
+      if (decision) return this.accept(decision, job, request, link, signal);
+      silenceShare = 1 - FIRST_SILENCE_SHARE;
     }
-    const { helpers } = decision;
-    this.jobs.set(job.id, { job, upstream: upstream.id, helpers, isWriting: false, link });
-    return { kind: 'placed', upstream, helpers: this.getHelpers(helpers), jobId: job.id };
+    return this.placeAlone(request, signal);
   }
 
   reserve(
@@ -93,22 +72,40 @@
     const local = this.options.fallback.reserve(request, upstream);
     if (jobId === undefined) return local;
     return {
-      addProgress: () => this.addProgress(jobId),
+      addProgress: () => this.jobs.markWriting(jobId),
       release: (isBroken) => {
         local.release(isBroken);
-        this.release(jobId, isBroken ? upstream.id : undefined);
+        this.followSchedulers();
+        this.jobs.remove(jobId, isBroken ? upstream.id : undefined);
       },
     };
   }
 
-  /** Tells a scheduler that was just reached what runs here. */
-  introduce(link: Link): void {
-    this.follow(link);
-    for (const own of this.jobs.values()) {
-      const { job, upstream, helpers, isWriting } = own;
-      link.notify(METHODS.adopt, { job, upstream, helpers, isWriting });
-      own.link = link;
+  private async accept(
+    decision: EngineDecision,
+    job: EngineJob,
+    request: PlacementRequest,
+    link: Link,
+    signal: AbortSignal,
+  ): Promise<Placement> {
+    if (decision.kind === 'refused')
+      return { kind: 'refused', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
+    if (decision.kind === 'queued')
+      return { kind: 'refused', reason: 'time is over', retryAfterMs: RETRY_AFTER_MS };
+    const upstream = this.options.view.table.getUpstream(decision.engine);
+    if (!upstream || upstream.state !== 'ready') {
+      tellRelease(link, { id: job.id });
+      return this.placeAlone(request, signal);
     }
+    const { helpers } = decision;
+    this.jobs.add({ job, upstream: upstream.id, helpers, isWriting: false }, link);
+    return {
+      kind: 'placed',
+      upstream,
+      helpers: this.getHelpers(helpers),
+      jobId: job.id,
+      isScheduled: true,
+    };
   }
 
   private async placeAlone(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
@@ -117,34 +114,33 @@
     const placement = await this.options.fallback.place(request, signal);
     if (placement.kind !== 'placed') return placement;
     const job = this.createJob(request);
-    const link = this.getScheduler();
-    const notice = { job, upstream: placement.upstream.id, helpers: [], isWriting: false };
-    this.jobs.set(job.id, { ...notice, link });
-    link?.notify(METHODS.adopt, notice);
+    this.jobs.add({ job, upstream: placement.upstream.id, helpers: [], isWriting: false });
     return { ...placement, jobId: job.id };
   }
 
-  /** True when no single engine can hold the prompt; only the scheduler knows which are clear. */
+  /** True when no single engine can hold the prompt; only a scheduler knows which are clear. */
   private needsSeveral(request: PlacementRequest): boolean {
     const engine = this.options.view.routing?.getService(request.service)?.engine;
     return engine !== undefined && request.promptTokens > engine.memoryTokens;
   }
 
-  /** Asks the scheduler; undefined when it does not answer or its link ends. */
+  /** Asks a scheduler; undefined when it does not answer or its link ends. */
   private async ask(
     link: Link,
     job: EngineJob,
+    silenceShare: number,
     signal: AbortSignal,
   ): Promise<EngineDecision | undefined> {
-    const silenceMs = Math.min(MAX_SILENCE_MS, job.objectiveMs * SILENCE_SHARE);
+    const { schedulers, logger } = this.options;
+    const silenceMs = getPatienceMs(job) * silenceShare;
     const later = this.waitFor(job.id, link, signal);
     try {
       const answer = (await link.call(METHODS.place, job, silenceMs)) as EngineDecision;
       return answer.kind === 'queued' ? await later : answer;
     } catch (error) {
-      this.pausedUntil = performance.now() + PAUSE_MS;
+      schedulers.pause(link);
       tellRelease(link, { id: job.id });
-      this.options.logger.warn({ err: error, request: job.id }, 'scheduler does not answer');
+      logger.warn({ err: error, request: job.id }, 'scheduler does not answer');
       return undefined;
     } finally {
       this.waiting.delete(job.id);
@@ -167,6 +163,13 @@
     });
   }
 
+  private followSchedulers(): Link[] {
+    const links = this.options.schedulers.getLinks();
+    links.forEach((link) => this.follow(link));
+    this.jobs.follow(links);
+    return links;
+  }
+
   private follow(link: Link): void {
     if (this.followed.has(link)) return;
     this.followed.add(link);
@@ -185,16 +188,6 @@
     else if (decision.kind === 'placed') tellRelease(link, { id });
   }
 
-  private getScheduler(): Link | undefined {
-    const { view, mesh } = this.options;
-    const { leader } = view.cluster.value;
-    if (!leader || performance.now() < this.pausedUntil) return undefined;
-    const link = mesh.getLink(leader).current;
-    if (!link || link.silence > SUSPECT_MS) return undefined;
-    if (!this.followed.has(link)) this.introduce(link);
-    return link;
-  }
-
   private getHelpers(helpers: EngineHelp[]): PlacedHelper[] {
     const { table } = this.options.view;
     return helpers.flatMap(({ engine, heldTokens }) => {
@@ -203,19 +196,6 @@
     });
   }
 
-  private addProgress(id: string): void {
-    const own = this.jobs.get(id);
-    if (!own) return;
-    own.isWriting = true;
-    own.link?.notify(METHODS.progress, { id });
-  }
-
-  private release(id: string, broken: string | undefined): void {
-    const own = this.jobs.get(id);
-    this.jobs.delete(id);
-    if (own?.link) tellRelease(own.link, broken === undefined ? { id } : { id, broken });
-  }
-
   private createJob(request: PlacementRequest): EngineJob {
     const { dataCentre } = this.options;
     const id = `${request.requestId}#${this.nextId}`;
@@ -235,6 +215,8 @@
   }
 }
 
-function tellRelease(link: Link, notice: JobNotice): void {
-  link.notify(METHODS.release, notice);
+/** A request that is late already waits longer, for placing it blindly would delay others too. */
+function getPatienceMs({ objectiveMs, waitedMs, remainingMs }: EngineJob): number {
+  const timeMs = waitedMs > objectiveMs ? remainingMs : objectiveMs;
+  return Math.min(MAX_SILENCE_MS, timeMs * SILENCE_SHARE);
 }
--- a/packages/gateway/src/entry/View.ts
+++ b/packages/gateway/src/entry/View.ts
@@ -18,7 +18,12 @@
 
   routing: RoutingTable | undefined;
 
-  readonly cluster = new BehaviorSubject<ClusterNotice>({ members: [], leader: null, entries: 1 });
+  readonly cluster = new BehaviorSubject<ClusterNotice>({
+    members: [],
+    leader: null,
+    term: 0,
+    entries: 1,
+  });
 
   constructor(private readonly options: ViewOptions) {}
 
@@ -34,6 +39,14 @@
     this.options.logger.info({ version: this.version }, 'configuration in force');
   }
 
+  /** Adopts who the control processes are; one that knows no leader does not hide a known one. */
+  adoptCluster(notice: ClusterNotice): void {
+    const known = this.cluster.value;
+    const isNewer = notice.term > known.term || (notice.term === known.term && notice.leader);
+    if (isNewer || known.members.length === 0) this.cluster.next(notice);
+    else this.cluster.next({ ...known, entries: notice.entries });
+  }
+
   mergeUpstreams({ records }: UpstreamNotice): void {
     records.forEach(({ ageMs, ...announcement }) => this.table.merge(announcement, ageMs));
   }
