Keep blind placements off engines with short prompts, try broken engines with one job

Ruled out: longer waits for a scheduler (the cut lasts seconds). Change: schedulers tell once a second which engines answer short prompts; a blind long prompt avoids them, a blind short one prefers them.

--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -5,7 +5,7 @@
 import type { Configuration, Service } from '../configuration/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { METHODS } from './messages.js';
-import type { AdoptNotice, JobNotice, PlacedNotice } from './messages.js';
+import type { AdoptNotice, JobNotice, LightEnginesNotice, PlacedNotice } from './messages.js';
 
 /** What the service needs. */
 export interface PlacementServiceOptions {
@@ -22,6 +22,8 @@
 
 /** Milliseconds between two looks at queued jobs. */
 const TICK_MS = 20;
+/** Milliseconds between two notices of the engines that answer short prompts. */
+const TELL_MS = 1000;
 
 /**
  * Places prompts for the entry processes that ask this process.
@@ -33,16 +35,22 @@
 
   private readonly jobs = new Map<string, KnownJob>();
 
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: NodeJS.Timeout[];
+
+  /** Links on which jobs were told. */
+  private readonly clients = new Set<Link>();
 
   private readonly followed = new WeakSet<Link>();
 
   constructor(private readonly options: PlacementServiceOptions) {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.timers = [
+      setInterval(() => this.tick(), TICK_MS),
+      setInterval(() => this.tellLightEngines(), TELL_MS),
+    ];
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    this.timers.forEach((timer) => clearInterval(timer));
   }
 
   addHandlers(handlers: Map<string, CallHandler>): void {
@@ -58,7 +66,10 @@
       else if (method === METHODS.progress) this.markWriting((body as JobNotice).id);
       else if (method === METHODS.release) this.release(body as JobNotice);
     });
-    link.ended.then(() => this.releaseAllOf(link));
+    link.ended.then(() => {
+      this.clients.delete(link);
+      this.releaseAllOf(link);
+    });
   }
 
   private place(job: EngineJob, link: Link): EngineDecision {
@@ -67,6 +78,7 @@
     this.follow(link);
     scheduler.setEngines(this.options.table.getReady(job.service));
     const decision = scheduler.place(job);
+    this.clients.add(link);
     if (decision.kind !== 'refused') this.jobs.set(job.id, { scheduler, link });
     if (decision.kind !== 'placed') this.log(job.id, decision);
     return decision;
@@ -76,6 +88,7 @@
     const scheduler = this.getScheduler(job.service);
     if (!scheduler || this.jobs.has(job.id)) return;
     scheduler.setEngines(this.options.table.getReady(job.service));
+    this.clients.add(link);
     scheduler.adopt(job, upstream, helpers, isWriting);
     this.jobs.set(job.id, { scheduler, link });
   }
@@ -84,12 +97,11 @@
     this.jobs.get(id)?.scheduler.markWriting(id);
   }
 
-  private release({ id, broken }: JobNotice): void {
+  private release({ id, ending, culprit }: JobNotice): void {
     const known = this.jobs.get(id);
     if (!known) return;
     this.jobs.delete(id);
-    if (broken) known.scheduler.avoid(broken);
-    known.scheduler.release(id);
+    known.scheduler.release(id, ending, culprit);
   }
 
   private releaseAllOf(link: Link): void {
@@ -127,6 +139,13 @@
     }
   }
 
+  private tellLightEngines(): void {
+    for (const [service, scheduler] of this.schedulers) {
+      const notice: LightEnginesNotice = { service, engines: scheduler.getLightEngines() };
+      this.clients.forEach((link) => link.notify(METHODS.lightEngines, notice));
+    }
+  }
+
   private log(request: string, decision: EngineDecision): void {
     this.options.logger.info({ request, decision }, 'placement');
   }
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -1,5 +1,5 @@
 import type { Announcement } from '@azurecart/discovery';
-import type { EngineDecision, EngineHelp, EngineJob } from '@azurecart/scheduling';
+import type { EngineDecision, EngineHelp, EngineJob, JobEnding } from '@azurecart/scheduling';
 
 /** Names of the calls and notices between processes. */
 export const METHODS = {
@@ -19,6 +19,7 @@
   adopt: 'adopt',
   progress: 'progress',
   release: 'release',
+  lightEngines: 'lightEngines',
 } as const;
 
 /** What a control process tells of itself to one that looks for its cluster. */
@@ -86,9 +87,17 @@
   isWriting: boolean;
 }
 
+/** Tells which engines answer short prompts, for processes that must place without a scheduler. */
+export interface LightEnginesNotice {
+  service: string;
+  engines: string[];
+}
+
 /** Tells of the progress or the end of a job. */
 export interface JobNotice {
   id: string;
-  /** The upstream whose connection broke, if that ended the job. */
-  broken?: string;
+  /** How it ended; orderly if absent. */
+  ending?: JobEnding;
+  /** The upstream at fault when it is not the one that the job was sent to. */
+  culprit?: string;
 }
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -8,6 +8,7 @@
 import type { EntrySettings } from '../settings/index.js';
 import { UpstreamAgent } from '../upstreams/index.js';
 import { ControlLinks } from './ControlLinks.js';
+import { EngineKinds } from './EngineKinds.js';
 import { EntryMetrics } from './EntryMetrics.js';
 import { Exchange } from './Exchange.js';
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
@@ -115,10 +116,12 @@
   private createPlacer(): ScheduledPlacer {
     const { view, health, links, gate } = this;
     const { dataCentre } = this.options.settings;
+    const kinds = new EngineKinds(view);
     return new ScheduledPlacer({
       view,
       schedulers: new Schedulers({ view, mesh: links.mesh }),
-      fallback: new LeastLoadedPlacer({ view, health, gate, dataCentre }),
+      kinds,
+      fallback: new LeastLoadedPlacer({ view, health, kinds, gate, dataCentre }),
       dataCentre,
       logger: this.options.logger,
     });
--- a/packages/gateway/src/entry/Job.ts
+++ b/packages/gateway/src/entry/Job.ts
@@ -129,6 +129,11 @@
     this.sendCount += 1;
   }
 
+  /** The request is not to be placed on an upstream. */
+  exclude(upstreamId: string): void {
+    this.excluded.add(upstreamId);
+  }
+
   /** The upstream has certainly not run the request. */
   takeBackRun(): void {
     this.runCount -= 1;
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
+import type { EngineKinds } from './EngineKinds.js';
 import type { Placement, PlacementRequest, Placer, Reservation } from './Placement.js';
 import type { StartGate } from './StartGate.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
@@ -8,6 +9,8 @@
 export interface LeastLoadedPlacerOptions {
   view: View;
   health: UpstreamHealth;
+  /** Tells engines for short and for long prompts apart. */
+  kinds: EngineKinds;
   /** Lets requests wait while the upstreams are not known yet. */
   gate: StartGate;
   dataCentre: string;
@@ -46,15 +49,16 @@
     const healthy = fresh.filter(({ id }) => !health.isAvoided(id));
     const candidates = healthy.length > 0 ? healthy : fresh;
     const [best] = candidates
-      .map((upstream) => ({ upstream, cost: this.getCost(upstream) }))
+      .map((upstream) => ({ upstream, cost: this.getCost(request, upstream) }))
       .sort((a, b) => a.cost - b.cost);
     return best?.upstream;
   }
 
-  private getCost(upstream: UpstreamRecord): number {
-    const { health, dataCentre, random = Math.random } = this.options;
+  private getCost(request: PlacementRequest, upstream: UpstreamRecord): number {
+    const { health, kinds, dataCentre, random = Math.random } = this.options;
     const distance = upstream.dataCentre === dataCentre ? 0 : DISTANCE_COST;
     const failures = health.getFailureShare(upstream.id) * FAILURE_COST;
-    return health.getInFlight(upstream.id) + distance + failures + random() * DISTANCE_COST;
+    const own = health.getInFlight(upstream.id) + kinds.getCost(request, upstream.id);
+    return own + distance + failures + random() * DISTANCE_COST;
   }
 }
--- a/packages/gateway/src/entry/PlacedJobs.ts
+++ b/packages/gateway/src/entry/PlacedJobs.ts
@@ -1,3 +1,4 @@
+import type { JobEnding } from '@azurecart/scheduling';
 import type { AdoptNotice, JobNotice } from '../control/messages.js';
 import { METHODS } from '../control/messages.js';
 import type { Link } from '../links/index.js';
@@ -33,17 +34,14 @@
     this.schedulers.forEach((link) => link.notify(METHODS.progress, { id }));
   }
 
-  /**
-   * Removes a job that has ended.
-   * @param broken - The upstream whose connection broke, if that ended it.
-   */
-  remove(id: string, broken?: string): void {
+  /** Removes a job that has ended. */
+  remove(id: string, ending: JobEnding, culprit?: string): void {
     if (!this.jobs.delete(id)) return;
-    this.schedulers.forEach((link) => tellRelease(link, { id, broken }));
+    this.schedulers.forEach((link) => tellRelease(link, { id, ending, culprit }));
   }
 }
 
 /** Tells a scheduler that a job has ended or is wanted no more. */
-export function tellRelease(link: Link, { id, broken }: JobNotice): void {
-  link.notify(METHODS.release, broken === undefined ? { id } : { id, broken });
+export function tellRelease(link: Link, notice: JobNotice): void {
+  link.notify(METHODS.release, notice);
 }
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
+import type { JobEnding } from '@azurecart/scheduling';
 import type { Route } from '../configuration/index.js';
 
 /** A request that needs an upstream. */
@@ -42,8 +43,11 @@
 export interface Reservation {
   /** The first event or the answer has come. */
   addProgress(): void;
-  /** The request has ended at the upstream, perhaps because its connection broke. */
-  release(isBroken: boolean): void;
+  /**
+   * The request has ended at the upstream.
+   * @param culprit - Id of the upstream at fault when it is a helper.
+   */
+  release(ending: JobEnding, culprit?: string): void;
 }
 
 /** Decides where requests go. */
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -1,3 +1,4 @@
+import type { JobEnding } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Route, RoutingTable } from '../configuration/index.js';
 import type { UpstreamAgent } from '../upstreams/index.js';
@@ -33,7 +34,7 @@
 type OpenOutcome = Exclude<AttemptOutcome, { kind: 'done' }>;
 
 /** Sends beyond the attempts that may run, for upstreams that state they did not run a request. */
-const EXTRA_SENDS = 2;
+const EXTRA_SENDS = 3;
 /** Milliseconds after which a client may come back when nothing better is known. */
 const RETRY_AFTER_MS = 300;
 /** Milliseconds after which a client may come back to a process that has just started. */
@@ -158,12 +159,13 @@
       : await this.takeMemory(job, upstream.id, helpers);
     if (!memory || job.signal.aborted) {
       memory?.release();
-      reserved.release(false);
+      reserved.release('orderly');
       const reason = job.signal.aborted ? String(job.signal.reason) : 'engine memory not granted';
       return { kind: 'notRun', reason };
     }
     const reservation = this.watchFirstEvent(job, reserved);
-    let isBroken = false;
+    let ending: JobEnding = 'orderly';
+    let culprit: string | undefined;
     try {
       const addresses = helpers.map(({ upstream: { address } }) => ({
         address,
@@ -171,10 +173,12 @@
       }));
       const parts = { wire, health, agent, job, upstream, helpers: addresses, reservation };
       const outcome = await new UpstreamAttempt(parts).run();
-      isBroken = outcome.kind === 'unknown' && !job.signal.aborted;
+      if (!job.signal.aborted) ending = getEnding(outcome);
+      if (outcome.kind === 'notRun') culprit = getCulprit(outcome, upstream.id, helpers);
+      if (culprit) job.exclude(culprit);
       return outcome;
     } finally {
-      reserved.release(isBroken);
+      reserved.release(ending, culprit);
       memory.release();
     }
   }
@@ -194,7 +198,7 @@
   private watchFirstEvent(job: Job, reserved: Reservation): Reservation {
     let hasEvent = false;
     return {
-      release: (isBroken) => reserved.release(isBroken),
+      release: (ending, culprit) => reserved.release(ending, culprit),
       addProgress: () => {
         job.addProgress();
         if (hasEvent) return;
@@ -230,6 +234,25 @@
   }
 }
 
+/** Tells what an outcome says of the upstream. */
+function getEnding(outcome: AttemptOutcome): JobEnding {
+  if (outcome.kind === 'done') return 'orderly';
+  if (outcome.kind === 'notRun') return outcome.isGone ? 'broken' : 'failed';
+  return outcome.kind === 'unknown' ? 'broken' : 'failed';
+}
+
+/** Gets the helper that an upstream names as the reason why it did not run a request. */
+function getCulprit(
+  { faulty }: { faulty?: string },
+  upstreamId: string,
+  helpers: PlacedHelper[],
+): string | undefined {
+  const named = helpers.find(({ upstream: { id, address } }) =>
+    [id, address].includes(faulty ?? ''),
+  );
+  return named && named.upstream.id !== upstreamId ? named.upstream.id : undefined;
+}
+
 /** Gives the final answer when no further attempt is made. */
 function finish(job: Job, outcome: OpenOutcome): void {
   const { exchange } = job;
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -2,8 +2,9 @@
 import type { EngineDecision, EngineHelp, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import { METHODS } from '../control/messages.js';
-import type { PlacedNotice } from '../control/messages.js';
+import type { LightEnginesNotice, PlacedNotice } from '../control/messages.js';
 import type { Link, Notice } from '../links/index.js';
+import type { EngineKinds } from './EngineKinds.js';
 import type { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { PlacedJobs, tellRelease } from './PlacedJobs.js';
 import type {
@@ -20,6 +21,7 @@
 export interface ScheduledPlacerOptions {
   view: View;
   schedulers: Schedulers;
+  kinds: EngineKinds;
   /** Decides while no scheduler answers, and for services without engines. */
   fallback: LeastLoadedPlacer;
   dataCentre: string;
@@ -73,10 +75,10 @@
     if (jobId === undefined) return local;
     return {
       addProgress: () => this.jobs.markWriting(jobId),
-      release: (isBroken) => {
-        local.release(isBroken);
+      release: (ending, culprit) => {
+        local.release(ending);
         this.followSchedulers();
-        this.jobs.remove(jobId, isBroken ? upstream.id : undefined);
+        this.jobs.remove(jobId, ending, culprit);
       },
     };
   }
@@ -181,6 +183,7 @@
   }
 
   private take({ method, body, link }: Notice): void {
+    if (method === METHODS.lightEngines) this.options.kinds.adopt(body as LightEnginesNotice);
     if (method !== METHODS.placed) return;
     const { id, decision } = body as PlacedNotice;
     const waiting = this.waiting.get(id);
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -48,7 +48,9 @@
       if (!(error instanceof UpstreamFault)) throw error;
       if (!job.signal.aborted && !call.isReused) health.addBreak(upstream.id);
       if (error.isNotRun) job.takeBackRun();
-      return { kind: error.isNotRun ? 'notRun' : 'unknown', reason: error.message };
+      return error.isNotRun
+        ? { kind: 'notRun', reason: error.message, isGone: true }
+        : { kind: 'unknown', reason: error.message };
     } finally {
       job.signal.removeEventListener('abort', abort);
       if (job.signal.aborted) call.abort();
@@ -91,7 +93,12 @@
       response.resume();
       job.takeBackRun();
       if (status === MISDIRECTED) health.addBreak(upstream.id);
-      return { kind: 'notRun', reason: `upstream answered ${status}` };
+      return {
+        kind: 'notRun',
+        reason: `upstream answered ${status}`,
+        isGone: status === MISDIRECTED,
+        faulty: terms.faultyUpstream,
+      };
     }
     const isSuccess = status >= 200 && status < 300;
     if ((isSuccess && !terms.isSigned) || response.headers['content-encoding']) {
--- a/packages/gateway/src/entry/Wire.ts
+++ b/packages/gateway/src/entry/Wire.ts
@@ -52,6 +52,8 @@
   attemptId: string | undefined;
   /** True when the upstream states that the request did not run. */
   isNotRun: boolean;
+  /** Id or address of the upstream that is the reason why the request did not run. */
+  faultyUpstream: string | undefined;
   /** True when the answer carries the upstream's signature. */
   isSigned: boolean;
 }
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -4,6 +4,7 @@
 import type { EngineDecision } from '@azurecart/scheduling';
 import { Mesh } from '../../src/control/Mesh.js';
 import { METHODS } from '../../src/control/messages.js';
+import { EngineKinds } from '../../src/entry/EngineKinds.js';
 import { LeastLoadedPlacer } from '../../src/entry/LeastLoadedPlacer.js';
 import type { PlacementRequest } from '../../src/entry/Placement.js';
 import { ScheduledPlacer } from '../../src/entry/ScheduledPlacer.js';
@@ -116,15 +117,18 @@
   view.adoptCluster({ members, leader: members[0] ?? null, term: 1, entries: 1 });
   mesh.retain(members);
   while (members.some((address) => !mesh.getLink(address).current)) await sleep(5);
+  const kinds = new EngineKinds(view);
   const fallback = new LeastLoadedPlacer({
     view,
     health: new UpstreamHealth(),
+    kinds,
     gate: new StartGate({ openForMs: 0 }),
     dataCentre: 'd',
   });
   const placer = new ScheduledPlacer({
     view,
     schedulers: new Schedulers({ view, mesh }),
+    kinds,
     fallback,
     dataCentre: 'd',
     logger: silentLogger,
@@ -138,7 +142,7 @@
     mesh.stop();
     schedulers.forEach((scheduler) => scheduler.stop());
   };
-  return { schedulers, placer, place, view, members, stop };
+  return { schedulers, placer, place, view, kinds, members, stop };
 }
 
 const SILENCE = (): Promise<EngineDecision> => new Promise(() => {});
@@ -149,7 +153,7 @@
   assert.equal(isScheduled, true);
   const reservation = placer.reserve(REQUEST, upstream, jobId);
   reservation.addProgress();
-  reservation.release(false);
+  reservation.release('orderly');
   await sleep(50);
   assert.deepEqual(schedulers[0].told, [METHODS.place, METHODS.progress, METHODS.release]);
   assert.deepEqual(schedulers[1].told, [METHODS.adopt, METHODS.progress, METHODS.release]);
@@ -195,3 +199,12 @@
   assert.equal(view.cluster.value.entries, 3);
   stop();
 });
+
+test('alone, a long prompt keeps away from engines that answer short ones', async () => {
+  const { kinds, stop } = await startPlacer();
+  kinds.adopt({ service: 's', engines: ['e1', 'e2'] });
+  const long = { ...REQUEST, promptTokens: 100_000 };
+  assert.ok(kinds.getCost(long, 'e1') > kinds.getCost(long, 'e3'));
+  assert.ok(kinds.getCost(REQUEST, 'e1') < kinds.getCost(REQUEST, 'e3'));
+  stop();
+});
--- a/packages/gateway/tests/entry/startFront.ts
+++ b/packages/gateway/tests/entry/startFront.ts
@@ -3,6 +3,7 @@
 import { Registry } from 'prom-client';
 import { RoutingTable } from '../../src/configuration/index.js';
 import type { Route } from '../../src/configuration/index.js';
+import { EngineKinds } from '../../src/entry/EngineKinds.js';
 import { EntryMetrics } from '../../src/entry/EntryMetrics.js';
 import { Exchange } from '../../src/entry/Exchange.js';
 import { LeastLoadedPlacer } from '../../src/entry/LeastLoadedPlacer.js';
@@ -47,6 +48,7 @@
   readAnswer: (status, headers) => ({
     attemptId: headers.attempt as string | undefined,
     isNotRun: status === 421 || headers.unrun !== undefined,
+    faultyUpstream: headers.faulty as string | undefined,
     isSigned: headers.signed !== undefined,
   }),
 };
@@ -101,6 +103,7 @@
     placer: new LeastLoadedPlacer({
       view,
       health,
+      kinds: new EngineKinds(view),
       gate: new StartGate({ openForMs: 0 }),
       dataCentre: 'near',
       random: () => 0,
--- a/packages/scheduling/src/engines/EngineLoad.ts
+++ b/packages/scheduling/src/engines/EngineLoad.ts
@@ -127,12 +127,13 @@
   }
 
   /** The job's first event has come, so its prompt is read; help that holds nothing ends. */
-  markWriting(id: string): void {
+  markWriting(id: string): boolean {
     const running = this.jobs.get(id);
-    if (!running) return;
+    if (!running) return false;
     running.isWriting = true;
     if (running.isHelp && running.heldTokens === 0) this.jobs.delete(id);
     this.totals = undefined;
+    return true;
   }
 
   remove(id: string): boolean {
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -10,6 +10,8 @@
 } from './choices/index.js';
 import type { Choice } from './choices/index.js';
 import type { EngineDecision, EngineHelp, EngineJob } from './EngineJob.js';
+import { EngineHealth } from './EngineHealth.js';
+import type { JobEnding } from './EngineHealth.js';
 import { EngineLoad, HEAVY_READ_MS } from './EngineLoad.js';
 import type { EngineEntry } from './EngineLoad.js';
 import { PassModel } from './PassModel.js';
@@ -31,8 +33,6 @@
 
 /** Part of an engine's memory that prompts may fill. */
 const MEMORY_SHARE = 0.95;
-/** Avoidance in milliseconds of an engine whose connection broke. */
-const AVOID_MS = 1500;
 const MIN_RETRY_MS = 300;
 
 /**
@@ -44,7 +44,7 @@
 export class EngineScheduler {
   private readonly loads = new Map<string, EngineLoad>();
 
-  private readonly avoidedUntil = new Map<string, number>();
+  private readonly health = new EngineHealth();
 
   private queue: QueuedJob[] = [];
 
@@ -62,6 +62,7 @@
   setEngines(engines: EngineEntry[]): void {
     const wanted = new Set(engines.map((engine) => engine.id));
     for (const id of this.loads.keys()) if (!wanted.has(id)) this.loads.delete(id);
+    this.health.retain((id) => wanted.has(id));
     for (const engine of engines) {
       if (!this.loads.has(engine.id)) this.loads.set(engine.id, new EngineLoad(engine, this.model));
     }
@@ -95,28 +96,36 @@
 
   /** The first event of a job has come. */
   markWriting(id: string): void {
-    this.loads.forEach((load) => {
-      load.markWriting(id);
+    for (const [engine, load] of this.loads) {
+      if (load.markWriting(id)) this.health.addAnswer(engine);
       load.markWriting(getHelpId(id));
-    });
+    }
     this.decideQueued();
   }
 
-  /** A job has ended, or is wanted no more. */
-  release(id: string): void {
+  /** Gets the engines that answer short prompts; long ones would spoil the pauses there. */
+  getLightEngines(): string[] {
+    return [...this.loads.values()]
+      .filter((load) => load.lightCount > 0)
+      .map(({ engine }) => engine.id);
+  }
+
+  /**
+   * A job has ended, or is wanted no more.
+   * @param culprit - The engine at fault when it is not the first one of the job.
+   */
+  release(id: string, ending: JobEnding = 'orderly', culprit?: string): void {
+    const now = this.options.now();
+    if (culprit !== undefined) this.health.addEnding(culprit, id, ending, now);
     this.queue = this.queue.filter(({ job }) => job.id !== id);
-    this.loads.forEach((load) => {
-      load.remove(id);
+    for (const [engine, load] of this.loads) {
+      const isOwn = load.remove(id);
+      if (isOwn) this.health.addEnding(engine, id, culprit ? 'orderly' : ending, now);
       load.remove(getHelpId(id));
-    });
+    }
     this.decideQueued();
   }
 
-  /** Avoids an engine whose connection broke. */
-  avoid(engine: string): void {
-    this.avoidedUntil.set(engine, this.options.now() + AVOID_MS);
-  }
-
   /** Decides on queued jobs again; to be called from time to time, for time alone changes much. */
   decideQueued(): void {
     const now = this.options.now();
@@ -141,16 +150,25 @@
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
     const roomTokens = Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
     const candidates = this.getCandidates(job, roomTokens, now);
-    const candidacy = { job, candidates, readMs, slackMs, remainingMs, roomTokens, now };
+    const candidacy = {
+      job,
+      candidates,
+      readMs,
+      slackMs,
+      remainingMs,
+      roomTokens,
+      now,
+      getRisk: (load: EngineLoad) => this.health.getFailureShare(load.engine.id, now),
+    };
     if (job.promptTokens > roomTokens) {
       const choice = chooseJoint(candidacy);
-      if (choice) return assign(job, choice, readMs, now);
+      if (choice) return this.assign(job, choice, readMs, now);
       return this.queueJoint(job, readMs, remainingMs, roomTokens);
     }
     const isHeavy = readMs > HEAVY_READ_MS;
     const choice = isHeavy ? chooseForHeavy(candidacy) : chooseForLight(candidacy);
     if (choice && (choice.isClear || !mayWait(isHeavy, slackMs, readMs, remainingMs)))
-      return assign(job, choice, readMs, now);
+      return this.assign(job, choice, readMs, now);
     if (remainingMs < readMs / (MAX_HELPERS + 1) + WRITE_MS)
       return this.refuse('the time left is too short');
     if (isHeavy && this.isHopeless(readMs, remainingMs, now))
@@ -176,7 +194,7 @@
     const usable = [...this.loads.values()].filter(
       ({ engine }) => !job.excluded.includes(engine.id),
     );
-    const sound = usable.filter(({ engine }) => (this.avoidedUntil.get(engine.id) ?? 0) <= now);
+    const sound = usable.filter(({ engine }) => this.health.isUsable(engine.id, now));
     const heldTokens = Math.min(job.promptTokens, roomTokens);
     return (sound.length > 0 ? sound : usable).filter(
       (load) => !load.isFull && load.tokens + heldTokens <= roomTokens,
@@ -195,6 +213,25 @@
     return (running + waiting) / engines + readMs + WRITE_MS > remainingMs;
   }
 
+  private assign(job: EngineJob, choice: Choice, readMs: number, now: number): EngineDecision {
+    const { load, helpers, heldTokens } = choice;
+    const part = readMs / (helpers.length + 1);
+    load.add(job, { readMs: part, heldTokens }, now);
+    this.health.addJob(load.engine.id, job.id);
+    const help = { ...job, id: getHelpId(job.id) };
+    helpers.forEach((helper) =>
+      helper.load.add(help, { readMs: part, heldTokens: helper.heldTokens, isHelp: true }, now),
+    );
+    return {
+      kind: 'placed',
+      engine: load.engine.id,
+      helpers: helpers.map((helper) => ({
+        engine: helper.load.engine.id,
+        heldTokens: helper.heldTokens,
+      })),
+    };
+  }
+
   private refuse(reason: string): EngineDecision {
     const now = this.options.now();
     const waits = [...this.loads.values()].map((load) => load.getBacklogMs(now));
@@ -210,24 +247,6 @@
   return slackMs - fastest > 0 || remainingMs > readMs + WRITE_MS;
 }
 
-function assign(job: EngineJob, choice: Choice, readMs: number, now: number): EngineDecision {
-  const { load, helpers, heldTokens } = choice;
-  const part = readMs / (helpers.length + 1);
-  load.add(job, { readMs: part, heldTokens }, now);
-  const help = { ...job, id: getHelpId(job.id) };
-  helpers.forEach((helper) =>
-    helper.load.add(help, { readMs: part, heldTokens: helper.heldTokens, isHelp: true }, now),
-  );
-  return {
-    kind: 'placed',
-    engine: load.engine.id,
-    helpers: helpers.map((helper) => ({
-      engine: helper.load.engine.id,
-      heldTokens: helper.heldTokens,
-    })),
-  };
-}
-
 function getHelpId(id: string): string {
   return `${id}/help`;
 }
--- a/packages/scheduling/src/engines/choices/Choice.ts
+++ b/packages/scheduling/src/engines/choices/Choice.ts
@@ -33,6 +33,8 @@
   roomTokens: number;
   /** Monotonic time in milliseconds. */
   now: number;
+  /** Gets the share of jobs that an engine has failed lately, 0 to 1. */
+  getRisk: (load: EngineLoad) => number;
 }
 
 /** Part of the objective that a prediction may use up. */
@@ -42,6 +44,9 @@
 /** Milliseconds that writing an answer is expected to take at least. */
 export const WRITE_MS = 800;
 
+/** Share of failed jobs from which an engine does not read for others. */
+export const HELP_RISK = 0.3;
+
 /** Gets the item of the least cost. */
 export function getLeast<T>(items: T[], cost: (item: T) => number): T | undefined {
   let best: T | undefined;
--- a/packages/scheduling/src/engines/choices/chooseForLight.ts
+++ b/packages/scheduling/src/engines/choices/chooseForLight.ts
@@ -20,6 +20,7 @@
   readMs,
   slackMs,
   now,
+  getRisk,
 }: Candidacy): Choice | undefined {
   const cost = (load: EngineLoad): number => {
     const firstMs = load.getFirstEventMs(readMs, now);
@@ -30,7 +31,7 @@
     const delay = firstMs / job.objectiveMs;
     const distance = load.engine.dataCentre === job.dataCentre ? 0 : DISTANCE_COST;
     const own = firstMs > slackMs ? 1 + delay : delay * DELAY_COST;
-    return own + load.getHarm(readMs, now) + crowd + empty + fill + distance;
+    return own + getRisk(load) + load.getHarm(readMs, now) + crowd + empty + fill + distance;
   };
   const best = getLeast(candidates, cost);
   return best && { load: best, helpers: [], heldTokens: job.promptTokens, isClear: true };
--- a/packages/scheduling/src/engines/choices/chooseJoint.ts
+++ b/packages/scheduling/src/engines/choices/chooseJoint.ts
@@ -1,5 +1,5 @@
 import type { EngineLoad } from '../EngineLoad.js';
-import { READ_SHARE, WRITE_MS } from './Choice.js';
+import { HELP_RISK, READ_SHARE, WRITE_MS } from './Choice.js';
 import type { Candidacy, Choice } from './Choice.js';
 
 /** Engines that may read one prompt, the first one included. */
@@ -10,10 +10,10 @@
  * as many as it needs for its objective read it. Gets nothing while too few are clear.
  */
 export function chooseJoint(candidacy: Candidacy): Choice | undefined {
-  const { job, candidates, readMs, slackMs, remainingMs, roomTokens } = candidacy;
+  const { job, candidates, readMs, slackMs, remainingMs, roomTokens, getRisk } = candidacy;
   const holders = Math.ceil(job.promptTokens / roomTokens);
   const clear = sortByDistance(
-    candidates.filter((load) => load.size === 0),
+    candidates.filter((load) => load.size === 0 && getRisk(load) < HELP_RISK),
     job.dataCentre,
   ).slice(0, MAX_JOINT_ENGINES);
   if (clear.length < holders) return undefined;
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -97,12 +97,55 @@
 test('an engine whose connection broke is avoided for a while', () => {
   const { scheduler, clock } = createScheduler(2);
   const first = getEngineOf(scheduler.place(createJob('a', {})));
-  scheduler.release('a');
-  scheduler.avoid(first);
-  assert.notEqual(getEngineOf(scheduler.place(createJob('b', {}))), first);
+  scheduler.release('a', 'broken');
+  for (let index = 0; index < 11; index += 1) {
+    assert.notEqual(getEngineOf(scheduler.place(createJob(`b${index}`, {}))), first);
+    scheduler.markWriting(`b${index}`);
+  }
   clock.now = 5000;
-  scheduler.release('b');
-  assert.equal(getEngineOf(scheduler.place(createJob('c', {}))), first);
+  assert.equal(getEngineOf(scheduler.place(createJob('d', {}))), first);
+});
+
+test('an engine that broke gets one job at a time until it answers', () => {
+  const { scheduler, clock } = createScheduler(2);
+  const first = getEngineOf(scheduler.place(createJob('a', {})));
+  const other = first === 'e0' ? 'e1' : 'e0';
+  const place = (id: string): EngineDecision =>
+    scheduler.place(createJob(id, { excluded: [other] }));
+  scheduler.release('a', 'broken');
+  clock.now = 5000;
+  assert.equal(getEngineOf(place('b')), first);
+  assert.notEqual(getEngineOf(scheduler.place(createJob('c', {}))), first);
+  scheduler.release('c');
+  scheduler.markWriting('b');
+  assert.equal(getEngineOf(place('d')), first);
+});
+
+test('jobs that break together count as one break', () => {
+  const { scheduler, clock } = createScheduler(2);
+  const first = getEngineOf(scheduler.place(createJob('a', {})));
+  const other = first === 'e0' ? 'e1' : 'e0';
+  const place = (id: string): EngineDecision =>
+    scheduler.place(createJob(id, { excluded: [other] }));
+  ['b', 'c', 'd'].forEach(place);
+  ['a', 'b', 'c', 'd'].forEach((id) => scheduler.release(id, 'broken'));
+  clock.now = 1000;
+  assert.equal(getEngineOf(scheduler.place(createJob('x', { excluded: [other] }))), first);
+});
+
+test('an engine that fails many jobs while it answers gets fewer', () => {
+  const { scheduler } = createScheduler(2);
+  const first = getEngineOf(scheduler.place(createJob('a', {})));
+  const other = first === 'e0' ? 'e1' : 'e0';
+  scheduler.release('a', 'failed');
+  for (let index = 0; index < 4; index += 1) {
+    scheduler.place(createJob(`f${index}`, { excluded: [other] }));
+    scheduler.release(`f${index}`, 'failed');
+  }
+  for (let index = 0; index < 5; index += 1) {
+    assert.equal(getEngineOf(scheduler.place(createJob(`s${index}`, {}))), other);
+    scheduler.markWriting(`s${index}`);
+  }
 });
 
 test('a prompt beyond the free memory is not put on a full engine', () => {
