Give up silent upstreams where another may go on; collect clear engines in turn

Ruled out: leaving at the first late event (a pass beside a long prompt takes half a second), giving up without a retry in hand. Later long prompts queue behind one that collects, for half its objective.

--- a/packages/gateway/src/entry/Job.ts
+++ b/packages/gateway/src/entry/Job.ts
@@ -19,6 +19,8 @@
   helpers: number;
   /** True when a scheduler that sees all requests decided it. */
   isScheduled: boolean;
+  /** Milliseconds after which the scheduler expected the first event. */
+  expectedMs: number | undefined;
 }
 
 /** A request on its way through one or more attempts at upstreams. */
@@ -50,6 +52,8 @@
 
   private sendCount = 0;
 
+  private hasRetry = false;
+
   constructor(private readonly options: JobOptions) {
     const { exchange, terms, route } = options;
     this.dueAt = exchange.startedAt + Math.min(terms.deadlineMs ?? Infinity, route.timeoutMs);
@@ -129,6 +133,18 @@
     this.sendCount += 1;
   }
 
+  /** Keeps a retry that was taken from the budget. */
+  keepRetry(): void {
+    this.hasRetry = true;
+  }
+
+  /** Uses the kept retry; false when there is none. */
+  useRetry(): boolean {
+    const { hasRetry } = this;
+    this.hasRetry = false;
+    return hasRetry;
+  }
+
   /** The request is not to be placed on an upstream. */
   exclude(upstreamId: string): void {
     this.excluded.add(upstreamId);
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -34,6 +34,8 @@
       upstream: UpstreamRecord;
       helpers: PlacedHelper[];
       jobId?: string;
+      /** Milliseconds after which the scheduler expects the first event. */
+      expectedMs?: number;
       /** True when a scheduler that sees all requests decided it. */
       isScheduled?: boolean;
     }
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -8,6 +8,7 @@
 import type { EntryMetrics } from './EntryMetrics.js';
 import type { Exchange } from './Exchange.js';
 import { Job } from './Job.js';
+import { getPatience } from './Patience.js';
 import { JointMemory, OrderClient } from './memory/index.js';
 import type { PlacedHelper, Placer, Reservation } from './Placement.js';
 import type { SharedRetryBudget } from './SharedRetryBudget.js';
@@ -143,7 +144,14 @@
     if (outcome.kind === 'refused' || job.signal.aborted) return false;
     if (job.runs > 0 && !job.isRepeatable) return false;
     if (job.runs >= maxAttempts || job.sends >= maxAttempts + EXTRA_SENDS) return false;
-    return this.options.getBudget(job.service).takeRetry();
+    return job.useRetry() || this.options.getBudget(job.service).takeRetry();
+  }
+
+  /** Takes a retry ahead of its use, so that nothing is given up that could not go elsewhere. */
+  private takeRetry(job: Job): boolean {
+    const isTaken = this.options.getBudget(job.service).takeRetry();
+    if (isTaken) job.keepRetry();
+    return isTaken;
   }
 
   private async attemptOnce(job: Job): Promise<AttemptOutcome> {
@@ -151,8 +159,8 @@
     const request = job.getPlacementRequest();
     const placement = await placer.place(request, job.signal);
     if (placement.kind === 'refused') return placement;
-    const { upstream, helpers, jobId, isScheduled = false } = placement;
-    job.addPlacement({ upstream: upstream.id, helpers: helpers.length, isScheduled });
+    const { upstream, helpers, jobId, expectedMs, isScheduled = false } = placement;
+    job.addPlacement({ upstream: upstream.id, helpers: helpers.length, isScheduled, expectedMs });
     const reserved = placer.reserve(request, upstream, jobId);
     const memory = job.signal.aborted
       ? undefined
@@ -171,7 +179,18 @@
         address,
         ticket: memory.getTicket(address),
       }));
-      const parts = { wire, health, agent, job, upstream, helpers: addresses, reservation };
+      const patience = mayMove(job) ? getPatience(job.route, expectedMs) : undefined;
+      const parts = {
+        wire,
+        health,
+        agent,
+        job,
+        upstream,
+        helpers: addresses,
+        reservation,
+        patience,
+        takeRetry: () => this.takeRetry(job),
+      };
       const outcome = await new UpstreamAttempt(parts).run();
       if (!job.signal.aborted) ending = getEnding(outcome);
       if (outcome.kind === 'notRun') culprit = getCulprit(outcome, upstream.id, helpers);
@@ -234,6 +253,11 @@
   }
 }
 
+/** True when a request whose upstream falls silent may go to another one. */
+function mayMove(job: Job): boolean {
+  return job.isRepeatable && job.runs + 1 < job.route.maxAttempts;
+}
+
 /** Tells what an outcome says of the upstream. */
 function getEnding(outcome: AttemptOutcome): JobEnding {
   if (outcome.kind === 'done') return 'orderly';
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -106,6 +106,7 @@
       upstream,
       helpers: this.getHelpers(helpers),
       jobId: job.id,
+      expectedMs: decision.expectedMs,
       isScheduled: true,
     };
   }
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -10,7 +10,9 @@
 import type { UpstreamAgent } from '../upstreams/index.js';
 import type { AttemptOutcome } from './AttemptOutcome.js';
 import type { Job } from './Job.js';
+import type { Patience } from './Patience.js';
 import type { Reservation } from './Placement.js';
+import { StallTimer } from './StallTimer.js';
 import { readWhole, sendWhole } from './wholeAnswers.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
 import type { Helper, Wire } from './Wire.js';
@@ -24,6 +26,10 @@
   upstream: UpstreamRecord;
   helpers: Helper[];
   reservation: Reservation;
+  /** How long a silent upstream is waited for; without it until the request's time is over. */
+  patience: Patience | undefined;
+  /** Takes a retry from the budget; false when there is none. */
+  takeRetry: () => boolean;
 }
 
 /** Milliseconds for a new connection to an upstream to be established. */
@@ -33,13 +39,19 @@
 
 /** One attempt of a request at one upstream. */
 export class UpstreamAttempt {
+  private stall = new StallTimer(() => undefined);
+
   constructor(private readonly options: UpstreamAttemptOptions) {}
 
   /** Sends the request and passes the answer on as far as it may reach the client. */
   async run(): Promise<AttemptOutcome> {
-    const { health, job, upstream } = this.options;
+    const { health, job, upstream, patience } = this.options;
     const call = this.createCall();
     const abort = (): void => call.abort();
+    this.stall = new StallTimer(() => {
+      if (this.options.takeRetry()) abort();
+    });
+    if (patience) this.stall.restart(patience.firstMs);
     job.signal.addEventListener('abort', abort);
     job.addSend(upstream.id);
     try {
@@ -52,6 +64,7 @@
         ? { kind: 'notRun', reason: error.message, isGone: true }
         : { kind: 'unknown', reason: error.message };
     } finally {
+      this.stall.stop();
       job.signal.removeEventListener('abort', abort);
       if (job.signal.aborted) call.abort();
     }
@@ -132,7 +145,7 @@
 
   /** Passes events on as they come, whole ones only. */
   private async passEvents(response: IncomingMessage): Promise<AttemptOutcome> {
-    const { health, job, upstream, reservation } = this.options;
+    const { health, job, upstream, reservation, patience } = this.options;
     const { exchange } = job;
     const cutter = new EventCutter();
     const watch = new CompletionWatch(response);
@@ -146,8 +159,10 @@
         if (events.length === 0) continue;
         writeHead();
         reservation.addProgress();
+        this.stall.stop();
         await exchange.write(Buffer.concat(events.map((event) => event.bytes)));
         job.lastEventId = events.at(-1)?.id ?? job.lastEventId;
+        if (patience) this.stall.restart(patience.pauseMs);
       }
     } catch (error) {
       if (!job.signal.aborted) health.addBadAnswer(upstream.id);
--- a/packages/gateway/tests/entry/requests.test.ts
+++ b/packages/gateway/tests/entry/requests.test.ts
@@ -16,15 +16,15 @@
   return Promise.all(scripts.map((script) => ScriptedUpstream.start(script)));
 }
 
-/** Writes events, then ends the answer in order or resets the connection. */
-function events(ids: number[], end: 'whole' | 'reset'): Script {
+/** Writes events, then ends the answer in order, resets the connection or falls silent. */
+function events(ids: number[], end: 'whole' | 'reset' | 'silent'): Script {
   return (socket, request) => {
     const body = ids.map((id) => `id: ${id}\ndata: x\n\n`).join('');
     if (end === 'whole') socket.write(answer(request, '200 OK', body, STREAM_HEAD));
     else {
       const whole = answer(request, '200 OK', `${body}id: 99\nda`.padEnd(999), STREAM_HEAD);
       socket.write(whole.slice(0, whole.indexOf('id: 99') + 9));
-      setTimeout(() => socket.resetAndDestroy(), 50);
+      if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 50);
     }
   };
 }
@@ -158,6 +158,47 @@
   assert.deepEqual(seen.body.match(/id: \d+/g), ['id: 1', 'id: 2', 'id: 3', 'id: 4']);
 });
 
+test('a stream whose upstream falls silent goes on at another one', async () => {
+  const upstreams = await start(events([1, 2], 'silent'), events([3, 4], 'whole'));
+  const front = await startFront(upstreams, {
+    kind: 'stream',
+    isResumable: true,
+    timeoutMs: 5000,
+  });
+  const seen = await front.send({ deadline: '5000' });
+  front.stop();
+  assert.deepEqual(seen.body.match(/id: \d+/g), ['id: 1', 'id: 2', 'id: 3', 'id: 4']);
+});
+
+test('a request whose upstream is silent goes to another one in time', async () => {
+  const front = await startFront(await start(() => undefined, good), { objectiveMs: 150 });
+  const startedAt = performance.now();
+  assert.equal((await front.send()).body, 'fine');
+  front.stop();
+  assert.ok(performance.now() - startedAt < 900);
+});
+
+test('a silent upstream keeps a request that may not be repeated', async () => {
+  const upstreams = await start(() => undefined, good);
+  const front = await startFront(upstreams, { kind: 'nonIdempotent', maxAttempts: 2 });
+  assert.equal((await front.send()).status, 504);
+  front.stop();
+  assert.equal(upstreams[1]?.received.length, 0);
+});
+
+test('nothing is given up while the budget has no retry', async () => {
+  const slow: Script = (socket, request) => {
+    setTimeout(() => socket.write(answer(request, '200 OK', 'slow')), 600);
+  };
+  const upstreams = await start(slow, slow);
+  const front = await startFront(upstreams, {}, { ratio: 0, extra: 0 });
+  await front.send();
+  const { body } = await front.send();
+  front.stop();
+  assert.equal(body, 'slow');
+  assert.equal(upstreams.flatMap(({ received }) => received).length, 3);
+});
+
 test('a stream that may not be resumed looks cut when it is', async () => {
   const upstreams = await start(events([1, 2], 'reset'), events([3, 4], 'whole'));
   const front = await startFront(upstreams, { kind: 'stream', isResumable: false });
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -21,6 +21,7 @@
   kind: 'placed',
   engine: 'e',
   helpers: [],
+  expectedMs: 50,
 });
 
 /** A control process as far as placing goes, and what it was told. */
--- a/packages/gateway/tests/entry/startFront.ts
+++ b/packages/gateway/tests/entry/startFront.ts
@@ -75,6 +75,7 @@
 export async function startFront(
   upstreams: ScriptedUpstream[],
   fields: Partial<Route> = {},
+  { ratio = 1, extra = 100 }: { ratio?: number; extra?: number } = {},
 ): Promise<Front> {
   const view = new View({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
@@ -93,9 +94,9 @@
   const health = new UpstreamHealth();
   const agent = new UpstreamAgent();
   const budget = new SharedRetryBudget({
-    ratio: 1,
-    windowMs: 1000,
-    extra: 100,
+    ratio,
+    windowMs: 60_000,
+    extra,
     getEntryCount: () => 1,
   });
   const task = new RequestTask({
--- a/packages/scheduling/src/engines/EngineJob.ts
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -28,6 +28,12 @@
 
 /** Where a job goes, or that it cannot be served. */
 export type EngineDecision =
-  | { kind: 'placed'; engine: string; helpers: EngineHelp[] }
+  | {
+      kind: 'placed';
+      engine: string;
+      helpers: EngineHelp[];
+      /** Milliseconds from now after which the first event is expected. */
+      expectedMs: number;
+    }
   | { kind: 'queued' }
   | { kind: 'refused'; retryAfterMs: number; reason: string };
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -34,6 +34,10 @@
 /** Part of an engine's memory that prompts may fill. */
 const MEMORY_SHARE = 0.95;
 const MIN_RETRY_MS = 300;
+/** Part of its objective for which a prompt beyond one engine's memory holds back later ones. */
+const COLLECT_SHARE = 0.5;
+
+const QUEUED: EngineDecision = { kind: 'queued' };
 
 /**
  * Decides which engine reads and answers each prompt of one service.
@@ -72,9 +76,11 @@
   /** Decides on a job now, or queues it until an engine is clear. */
   place(job: EngineJob): EngineDecision {
     const now = this.options.now();
-    const decision = this.decide(job, job.waitedMs, now + job.remainingMs, now);
-    if (decision.kind !== 'queued') return decision;
     const arrivedAt = now - job.waitedMs;
+    const decision = this.isBehindJoint(job, arrivedAt, now)
+      ? QUEUED
+      : this.decide(job, job.waitedMs, now + job.remainingMs, now);
+    if (decision.kind !== 'queued') return decision;
     this.queue.push({ job, arrivedAt, deadlineAt: now + job.remainingMs });
     this.queue.sort((a, b) => a.job.priority - b.job.priority || a.arrivedAt - b.arrivedAt);
     return decision;
@@ -133,7 +139,9 @@
     this.queue = [];
     for (const queued of waiting) {
       const { job, arrivedAt, deadlineAt } = queued;
-      const decision = this.decide(job, now - arrivedAt, deadlineAt, now);
+      const decision = this.isBehindJoint(job, arrivedAt, now)
+        ? QUEUED
+        : this.decide(job, now - arrivedAt, deadlineAt, now);
       if (decision.kind === 'queued') this.queue.push(queued);
       else this.options.onDecided(job.id, decision);
     }
@@ -148,7 +156,7 @@
     const readMs = this.model.getReadMs(job.promptTokens);
     const remainingMs = deadlineAt - now;
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
-    const roomTokens = Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
+    const { roomTokens } = this;
     const candidates = this.getCandidates(job, roomTokens, now);
     const candidacy = {
       job,
@@ -190,6 +198,26 @@
     return { kind: 'queued' };
   }
 
+  /**
+   * True when a prompt beyond one engine's memory came earlier and still collects clear engines.
+   * Without its turn it would wait forever, for others take each engine as it becomes clear.
+   */
+  private isBehindJoint(job: EngineJob, arrivedAt: number, now: number): boolean {
+    if (this.model.getReadMs(job.promptTokens) <= HEAVY_READ_MS) return false;
+    return this.queue.some(
+      (other) =>
+        other.job.promptTokens > this.roomTokens &&
+        other.job.priority <= job.priority &&
+        other.arrivedAt < arrivedAt &&
+        now - other.arrivedAt < other.job.objectiveMs * COLLECT_SHARE,
+    );
+  }
+
+  /** Tokens that prompts may hold on one engine. */
+  private get roomTokens(): number {
+    return Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
+  }
+
   private getCandidates(job: EngineJob, roomTokens: number, now: number): EngineLoad[] {
     const usable = [...this.loads.values()].filter(
       ({ engine }) => !job.excluded.includes(engine.id),
@@ -216,6 +244,8 @@
   private assign(job: EngineJob, choice: Choice, readMs: number, now: number): EngineDecision {
     const { load, helpers, heldTokens } = choice;
     const part = readMs / (helpers.length + 1);
+    const readers = [load, ...helpers.map((helper) => helper.load)];
+    const expectedMs = Math.max(...readers.map((each) => each.getFirstEventMs(part, now)));
     load.add(job, { readMs: part, heldTokens }, now);
     this.health.addJob(load.engine.id, job.id);
     const help = { ...job, id: getHelpId(job.id) };
@@ -225,6 +255,7 @@
     return {
       kind: 'placed',
       engine: load.engine.id,
+      expectedMs: Math.round(expectedMs),
       helpers: helpers.map((helper) => ({
         engine: helper.load.engine.id,
         heldTokens: helper.heldTokens,
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -228,7 +228,7 @@
   place(job: EngineJob): EngineDecision {
     const [least] = [...this.counts].sort(([, a], [, b]) => a.size - b.size);
     least?.[1].add(job.id);
-    return { kind: 'placed', engine: least?.[0] ?? '', helpers: [] };
+    return { kind: 'placed', engine: least?.[0] ?? '', helpers: [], expectedMs: 0 };
   }
 
   markWriting(): void {}
