Queue long prompts by what is due first, the late ones last

Ruled out: refusing what will be late while nothing else waits (a late answer still earns a part). Change: rank, then whether the objective can still be met, then the time due; what collects engines holds back only what is due later.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -82,7 +82,6 @@
       : this.decide(job, job.waitedMs, now + job.remainingMs, now);
     if (decision.kind !== 'queued') return decision;
     this.queue.push({ job, arrivedAt, deadlineAt: now + job.remainingMs });
-    this.queue.sort((a, b) => a.job.priority - b.job.priority || a.arrivedAt - b.arrivedAt);
     return decision;
   }
 
@@ -135,7 +134,7 @@
   /** Decides on queued jobs again; to be called from time to time, for time alone changes much. */
   decideQueued(): void {
     const now = this.options.now();
-    const waiting = this.queue;
+    const waiting = this.queue.sort((a, b) => this.compare(a, b, now));
     this.queue = [];
     for (const queued of waiting) {
       const { job, arrivedAt, deadlineAt } = queued;
@@ -208,11 +207,29 @@
       (other) =>
         other.job.promptTokens > this.roomTokens &&
         other.job.priority <= job.priority &&
-        other.arrivedAt < arrivedAt &&
+        getDueAt(other) < arrivedAt + job.objectiveMs &&
         now - other.arrivedAt < other.job.objectiveMs * COLLECT_SHARE,
     );
   }
 
+  /**
+   * Orders the queue: the urgent first, then what can still be on time, then what is due first. A
+   * late answer is worth little, so it does not make the next one late too.
+   */
+  private compare(a: QueuedJob, b: QueuedJob, now: number): number {
+    return (
+      a.job.priority - b.job.priority ||
+      Number(this.isLost(a, now)) - Number(this.isLost(b, now)) ||
+      getDueAt(a) - getDueAt(b)
+    );
+  }
+
+  /** True when a queued prompt cannot meet its objective any more. */
+  private isLost({ job, arrivedAt }: QueuedJob, now: number): boolean {
+    const readMs = this.model.getReadMs(job.promptTokens);
+    return arrivedAt + job.objectiveMs < now + readMs / (MAX_HELPERS + 1);
+  }
+
   /** Tokens that prompts may hold on one engine. */
   private get roomTokens(): number {
     return Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
@@ -271,6 +288,11 @@
   }
 }
 
+/** Gets the time at which the first event is due. */
+function getDueAt({ job, arrivedAt }: QueuedJob): number {
+  return arrivedAt + job.objectiveMs;
+}
+
 /** A long prompt waits for a clear engine as long as it can still be read in time. */
 function mayWait(isHeavy: boolean, slackMs: number, readMs: number, remainingMs: number): boolean {
   if (!isHeavy) return false;
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -205,6 +205,43 @@
   assert.equal(scheduler.place(createJob('l', { ...LONG, promptTokens: 200_000 })).kind, 'queued');
 });
 
+const MIDDLE = { promptTokens: 60_000, objectiveMs: 1500, pauseMs: 600, priority: 0 };
+
+test('of equal ranks the prompt that is due first gets the next clear engine', () => {
+  const { scheduler, decided } = createScheduler(1);
+  scheduler.place(createJob('s', {}));
+  scheduler.markWriting('s');
+  scheduler.place(createJob('l', { ...LONG, priority: 0 }));
+  scheduler.place(createJob('m', MIDDLE));
+  scheduler.release('s');
+  assert.equal(decided.get('m')?.kind, 'placed');
+  assert.equal(decided.has('l'), false);
+});
+
+test('a prompt that is late already goes after one that can be on time', () => {
+  const { scheduler, decided, clock } = createScheduler(1);
+  scheduler.place(createJob('s', {}));
+  scheduler.markWriting('s');
+  scheduler.place(createJob('late', { ...MIDDLE, waitedMs: 1450 }));
+  scheduler.place(createJob('punctual', { ...MIDDLE, pauseMs: 100 }));
+  clock.now = 50;
+  scheduler.release('s');
+  assert.equal(decided.get('punctual')?.kind, 'placed');
+  assert.equal(decided.has('late'), false);
+});
+
+test('later long prompts wait behind one that collects engines, but not for ever', () => {
+  const { scheduler, clock } = createScheduler(2);
+  scheduler.place(createJob('l0', { ...LONG, promptTokens: 150_000 }));
+  const job = { ...GIANT, promptTokens: 500_000, objectiveMs: 20_000, remainingMs: 60_000 };
+  assert.equal(scheduler.place(createJob('g', job)).kind, 'queued');
+  clock.now = 10;
+  const later = { ...LONG, objectiveMs: 30_000, promptTokens: 150_000 };
+  assert.equal(scheduler.place(createJob('l1', later)).kind, 'queued');
+  clock.now = 10_500;
+  assert.equal(scheduler.place(createJob('l2', later)).kind, 'placed');
+});
+
 /** Long prompts flood in beside a trickle of short ones, then the other way round. */
 function getFlood(): Arrival[] {
   const arrivals: Arrival[] = [];
