--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -160,6 +160,7 @@
     const candidacy = {
       job,
       candidates,
+      engineCount: this.loads.size,
       readMs,
       slackMs,
       remainingMs,
@@ -167,7 +168,7 @@
       now,
       getRisk: (load: EngineLoad) => this.health.getFailureShare(load.engine.id, now),
     };
-    if (job.promptTokens > roomTokens) {
+    if (this.needsSeveral(job)) {
       const choice = chooseJoint(candidacy);
       if (choice) return this.assign(job, choice, readMs, now);
       return this.queueJoint(job, readMs, remainingMs, roomTokens);
@@ -183,7 +184,7 @@
     return { kind: 'queued' };
   }
 
-  /** Lets a prompt beyond one engine's memory wait while it can still be served. */
+  /** Lets a prompt that needs several engines wait while it can still be served. */
   private queueJoint(
     job: EngineJob,
     readMs: number,
@@ -198,14 +199,14 @@
   }
 
   /**
-   * True when a prompt beyond one engine's memory came earlier and still collects clear engines.
+   * True when a prompt that needs several engines is due earlier and still collects clear ones.
    * Without its turn it would wait forever, for others take each engine as it becomes clear.
    */
   private isBehindJoint(job: EngineJob, arrivedAt: number, now: number): boolean {
     if (this.model.getReadMs(job.promptTokens) <= HEAVY_READ_MS) return false;
     return this.queue.some(
       (other) =>
-        other.job.promptTokens > this.roomTokens &&
+        this.needsSeveral(other.job) &&
         other.job.priority <= job.priority &&
         getDueAt(other) < arrivedAt + job.objectiveMs &&
         now - other.arrivedAt < other.job.objectiveMs * COLLECT_SHARE,
@@ -230,6 +231,12 @@
     return arrivedAt + job.objectiveMs < now + readMs / (MAX_HELPERS + 1);
   }
 
+  /** True when one engine cannot hold the prompt, or cannot read it within its objective. */
+  private needsSeveral({ promptTokens, objectiveMs }: EngineJob): boolean {
+    const isSlow = this.model.getReadMs(promptTokens) > objectiveMs * OBJECTIVE_SHARE;
+    return promptTokens > this.roomTokens || isSlow;
+  }
+
   /** Tokens that prompts may hold on one engine. */
   private get roomTokens(): number {
     return Math.floor(this.options.pace.memoryTokens * MEMORY_SHARE);
--- a/packages/scheduling/src/engines/choices/Choice.ts
+++ b/packages/scheduling/src/engines/choices/Choice.ts
@@ -23,6 +23,8 @@
   job: EngineJob;
   /** Engines that may take it. */
   candidates: EngineLoad[];
+  /** Number of all engines, the busy ones included. */
+  engineCount: number;
   /** Milliseconds in which one engine reads the prompt. */
   readMs: number;
   /** Milliseconds left to the first event within the objective. */
--- a/packages/scheduling/src/engines/choices/chooseJoint.ts
+++ b/packages/scheduling/src/engines/choices/chooseJoint.ts
@@ -6,11 +6,13 @@
 export const MAX_JOINT_ENGINES = 17;
 
 /**
- * Spreads a prompt beyond one engine's memory over clear engines: as few as possible hold it, and
- * as many as it needs for its objective read it. Gets nothing while too few are clear.
+ * Spreads a prompt that one engine cannot hold, or cannot read in time, over clear engines: as few
+ * as possible hold it, and as many as it needs for its objective read it. Gets nothing while too
+ * few are clear.
  */
 export function chooseJoint(candidacy: Candidacy): Choice | undefined {
-  const { job, candidates, readMs, slackMs, remainingMs, roomTokens, getRisk } = candidacy;
+  const { job, candidates, engineCount, readMs, slackMs, remainingMs, roomTokens, getRisk } =
+    candidacy;
   const holders = Math.ceil(job.promptTokens / roomTokens);
   const clear = sortByDistance(
     candidates.filter((load) => load.size === 0 && getRisk(load) < HELP_RISK),
@@ -19,7 +21,7 @@
   if (clear.length < holders) return undefined;
   const isPunctual = readMs / clear.length < slackMs;
   const isServable = readMs / clear.length + WRITE_MS < remainingMs;
-  const mayBecomePunctual = readMs / MAX_JOINT_ENGINES < slackMs;
+  const mayBecomePunctual = readMs / Math.min(engineCount, MAX_JOINT_ENGINES) < slackMs;
   if (!isServable || (!isPunctual && mayBecomePunctual)) return undefined;
   const readers = isPunctual ? Math.ceil(readMs / (slackMs * READ_SHARE)) : clear.length;
   const [load, ...others] = clear.slice(0, Math.max(holders, readers));
