--- a/packages/gateway/src/entry/Job.ts
+++ b/packages/gateway/src/entry/Job.ts
@@ -37,6 +37,9 @@
   /** Milliseconds from the arrival to the first event that reached the client. */
   firstEventMs: number | undefined;
 
+  /** Milliseconds from the last sending to the first event of its answer. */
+  observedMs: number | undefined;
+
   /** Longest time in milliseconds between two events. */
   longestPauseMs = 0;
 
@@ -172,6 +175,11 @@
     this.lastEventAt = now;
   }
 
+  /** Notes the first event of an attempt. */
+  addFirstEvent(observedMs: number): void {
+    this.observedMs = observedMs;
+  }
+
   /** Gets what decides on the next upstream. */
   getPlacementRequest(): PlacementRequest {
     const { terms, route } = this.options;
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -171,7 +171,7 @@
       const reason = job.signal.aborted ? String(job.signal.reason) : 'engine memory not granted';
       return { kind: 'notRun', reason };
     }
-    const reservation = this.watchFirstEvent(job, reserved);
+    const reservation = this.watchFirstEvent(job, reserved, expectedMs);
     let ending: JobEnding = 'orderly';
     let culprit: string | undefined;
     try {
@@ -214,7 +214,13 @@
   }
 
   /** Passes the first event of an attempt on to the reservation and the metrics. */
-  private watchFirstEvent(job: Job, reserved: Reservation): Reservation {
+  private watchFirstEvent(
+    job: Job,
+    reserved: Reservation,
+    expectedMs: number | undefined,
+  ): Reservation {
+    const { metrics } = this.options;
+    const sentAt = performance.now();
     let hasEvent = false;
     return {
       release: (ending, culprit) => reserved.release(ending, culprit),
@@ -223,7 +229,10 @@
         if (hasEvent) return;
         hasEvent = true;
         reserved.addProgress();
-        this.options.metrics.addFirstEvent(job.priority, job.exchange.elapsedMs);
+        const observedMs = performance.now() - sentAt;
+        job.addFirstEvent(observedMs);
+        metrics.addFirstEvent(job.priority, job.exchange.elapsedMs);
+        if (expectedMs !== undefined) metrics.addPrediction(expectedMs, observedMs);
       },
     };
   }
@@ -243,6 +252,7 @@
         promptTokens: job.promptTokens,
         ...job.lastPlacement,
         firstEventMs: round(job.firstEventMs),
+        observedMs: round(job.observedMs),
         longestPauseMs: round(job.longestPauseMs),
         sends: job.sends,
         runs: job.runs,
