--- a/packages/cli/src/timeline/readEvents.ts
+++ b/packages/cli/src/timeline/readEvents.ts
@@ -3,6 +3,7 @@
 import { Secret } from '@azurecart/daemon';
 import type { TimelineEvent } from '@azurecart/telemetry';
 import { CommandFault } from '../CommandFault.js';
+import { decodeLogLine } from './decodeLogLine.js';
 
 const eventSchema = z.object({
   at: z.string(),
@@ -39,15 +40,31 @@
   return response.text();
 }
 
-/** The last line of a file may be cut short by a process that died; other lines may not. */
+/**
+ * Parses lines. The last one may be cut short by a process that died; in logs, which go on when the
+ * process is started again, others too.
+ */
 function parse(text: string, source: string): TimelineEvent[] {
   const lines = text.split('\n').filter((line) => line !== '');
+  let hasLogLines = false;
   return lines.flatMap((line, index) => {
-    try {
-      return [eventSchema.parse(JSON.parse(line))];
-    } catch {
-      if (index === lines.length - 1) return [];
-      throw new CommandFault(`${source}: line ${index + 1} is not an event`);
-    }
+    const value = parseJson(line);
+    const logged = decodeLogLine(value, index);
+    hasLogLines ||= logged !== undefined;
+    if (logged) return [logged];
+    const event = eventSchema.safeParse(value);
+    if (event.success) return [event.data];
+    const isCut = value === undefined && hasLogLines;
+    if (isCut) process.stderr.write(`${source}: line ${index + 1} is cut and left out\n`);
+    if (isCut || index === lines.length - 1) return [];
+    throw new CommandFault(`${source}: line ${index + 1} is not an event`);
   });
 }
+
+function parseJson(line: string): unknown {
+  try {
+    return JSON.parse(line) as unknown;
+  } catch {
+    return undefined;
+  }
+}
