--- /dev/null
+++ b/packages/fakes/src/runner/index.ts
@@ -0,0 +1,3 @@
+/** A stand-in of the users' platform: its model runners. */
+export * from './FakeRunner.js';
+export * from './MemoryTickets.js';
--- /dev/null
+++ b/packages/fakes/tests/gateway.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { startGateway, waitFor } from './startGateway.js';
+import type { TestGateway } from './startGateway.js';
+
+async function withGateway(
+  name: string,
+  runnerCount: number,
+  run: (gateway: TestGateway) => Promise<void>,
+): Promise<void> {
+  const gateway = await startGateway(name, runnerCount);
+  try {
+    await run(gateway);
+  } finally {
+    await gateway.stop();
+  }
+}
+
+const WHOLE = ['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5', 'id: 6'];
+
+function getIds(text: string): string[] {
+  return text.match(/id: \d+/g) ?? [];
+}
+
+test('a prompt is answered whole, for its customer and without its key', () =>
+  withGateway('whole', 2, async ({ runners, send }) => {
+    const { status, text } = await send(1000);
+    assert.deepEqual([status, getIds(text)], [200, WHOLE]);
+    const seen = runners.flatMap((runner) => runner.seen);
+    assert.ok(seen.every(({ headers }) => headers['x-tenant-id'] === 'tenant'));
+    assert.ok(seen.every(({ headers }) => headers.authorization === undefined));
+  }));
+
+test('a prompt beyond one runner is held by several and leaves nothing behind', () =>
+  withGateway('joint', 4, async ({ runners, send }) => {
+    const { status, text } = await send(250_000);
+    assert.deepEqual([status, getIds(text)], [200, WHOLE]);
+    assert.equal(
+      runners.reduce((sum, { tickets }) => sum + tickets.granted, 0),
+      2,
+    );
+    await waitFor(() => runners.every(({ tickets }) => tickets.held === 0));
+  }));
+
+test('a stream goes on at another runner when its own resets or falls silent', () =>
+  withGateway('resumed', 3, async ({ runners, send }) => {
+    for (const conduct of ['reset', 'silent'] as const) {
+      const [first] = runners;
+      if (first) first.conduct = conduct;
+      for (let index = 0; index < 4; index += 1) {
+        const { status, text } = await send(1000);
+        assert.deepEqual([status, getIds(text)], [200, WHOLE]);
+      }
+    }
+  }));
+
+test('a runner that says it is leaving gets nothing more', () =>
+  withGateway('leaving', 2, async ({ runners, operators, send }) => {
+    const [first, second] = runners;
+    await first?.announce(operators, 'draining');
+    const before = first?.seen.length;
+    for (let index = 0; index < 5; index += 1) assert.equal((await send(1000)).status, 200);
+    assert.equal(first?.seen.length, before);
+    assert.ok((second?.seen.length ?? 0) >= 5);
+  }));
+
+test('a full runner is passed over, and a failing one answers for itself', () =>
+  withGateway('failing', 2, async ({ runners, send }) => {
+    const [first, second] = runners;
+    if (first) first.conduct = 'full';
+    assert.equal((await send(1000)).status, 200);
+    if (first) first.conduct = 'failing';
+    if (second) second.conduct = 'failing';
+    const { status, text } = await send(1000);
+    assert.deepEqual([status, text], [500, 'failed']);
+  }));
+
+test('service goes on without control', () =>
+  withGateway('alone', 2, async ({ control, send }) => {
+    await control.kill();
+    for (let index = 0; index < 5; index += 1) {
+      const { status, text } = await send(1000);
+      assert.deepEqual([status, getIds(text)], [200, WHOLE]);
+    }
+  }));
--- /dev/null
+++ b/packages/fakes/tests/startGateway.ts
@@ -0,0 +1,176 @@
+import { mkdir, rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { ChildProcess, getFreePorts } from '../src/harness/index.js';
+import { FakeRunner } from '../src/runner/index.js';
+
+/** The gateway's processes with runners, and what clients see of them. */
+export interface TestGateway {
+  control: ChildProcess;
+  runners: FakeRunner[];
+  operators: string;
+  send(promptTokens: number): Promise<{ status: number; text: string }>;
+  stop(): Promise<void>;
+}
+
+const PACE = {
+  stepMs: 1.31,
+  writerMs: 0.00133,
+  contextMsPerThousand: 0.00213,
+  readTokensPerSecond: 154_000,
+  pairMsPerMillion: 0.162,
+  strideSteps: 34,
+  memoryTokens: 100_000,
+};
+const HOST = '127.0.8.1';
+const WAIT_MS = 30_000;
+const POLL_MS = 50;
+const SCRIPT = join(process.cwd(), 'packages/daemon/dist/src/gateway/main.js');
+
+function createConfiguration(): unknown {
+  const route = {
+    Name: 'r',
+    Hostname: 'a.example',
+    PathPrefix: '/p/',
+    Type: 'streaming',
+    TimeoutMs: 12_000,
+    TargetLatencyMs: 6000,
+    TargetItlMs: 250,
+    Priority: 0,
+    MaxAttempts: 2,
+    Resumable: true,
+    SessionAffinity: true,
+    Service: 's',
+  };
+  const engine = {
+    Capacity: 8,
+    KvCapacity: PACE.memoryTokens,
+    Stride: PACE.strideSteps,
+    step_ms: PACE.stepMs,
+    per_seq_ms: PACE.writerMs,
+    context_per_k: PACE.contextMsPerThousand,
+    read_per_s: PACE.readTokensPerSecond,
+    pairs_per_m: PACE.pairMsPerMillion,
+    chunk: 2048,
+  };
+  return {
+    Version: 1,
+    Routes: [route],
+    Services: [{ Name: 's', HealthPath: '/healthz', MaxConnections: 50, Engine: engine }],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 65_536,
+      HeaderTimeoutMs: 3000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{ Name: 'tenant', ApiKeys: ['secret-key'] }],
+  };
+}
+
+/** Waits until a condition holds. */
+export async function waitFor(condition: () => Promise<boolean> | boolean): Promise<void> {
+  const endAt = performance.now() + WAIT_MS;
+  while (performance.now() < endAt) {
+    if (await condition()) return;
+    await sleep(POLL_MS);
+  }
+  throw new Error('waited too long');
+}
+
+/** Starts one control and one entry process and runners that have announced themselves. */
+export async function startGateway(name: string, runnerCount: number): Promise<TestGateway> {
+  const folder = join(process.cwd(), '.data', `test-${name}-${process.pid}`);
+  await mkdir(folder, { recursive: true });
+  const [operatorPort, frontPort, readyPort, linkPort] = await getFreePorts(4);
+  const operators = `${HOST}:${operatorPort}`;
+  const front = `127.0.0.1:${frontPort}`;
+  const common = { dataCentre: 'd', linkPort, seeds: [operators] };
+  const start = async (role: string, fields: object): Promise<ChildProcess> => {
+    const file = join(folder, `${role}.json`);
+    await writeFile(file, JSON.stringify({ role, vm: role, ...common, ...fields }));
+    const child = new ChildProcess({
+      name: role,
+      script: SCRIPT,
+      arguments: ['--settings', file],
+      logFile: join(folder, `${role}.log`),
+    });
+    child.start();
+    return child;
+  };
+  const control = await start('control', {
+    host: HOST,
+    operators,
+    dataFolder: join(folder, 'data'),
+    isFirstStart: true,
+    toleratedLosses: 0,
+  });
+  const readiness = `127.0.0.1:${readyPort}`;
+  const entry = await start('entry', {
+    host: '127.0.8.2',
+    front,
+    readiness,
+    memoryMb: 200,
+    graceSeconds: 5,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    retryExtra: 100,
+  });
+  const body = JSON.stringify(createConfiguration());
+  await waitFor(() => isOk(`http://${operators}/api/config`, { method: 'PUT', body }));
+  const runners = await Promise.all(
+    Array.from({ length: runnerCount }, (_, index) =>
+      FakeRunner.start({ id: `i-${index}`, service: 's', dataCentre: 'd', pace: PACE }),
+    ),
+  );
+  for (const runner of runners) await runner.announce(operators);
+  await waitFor(() => isOk(`http://${readiness}/api/readyz`));
+  const stop = async (): Promise<void> => {
+    runners.forEach((runner) => runner.stop());
+    await entry.kill();
+    await control.kill();
+    await rm(folder, { recursive: true, force: true });
+  };
+  const send = (tokens: number) => sendPrompt(front, tokens);
+  await waitFor(async () => (await send(10)).status === 200);
+  return { control, runners, operators, send, stop };
+}
+
+async function isOk(url: string, init?: RequestInit): Promise<boolean> {
+  try {
+    return (await fetch(url, init)).ok;
+  } catch {
+    return false;
+  }
+}
+
+async function sendPrompt(
+  front: string,
+  promptTokens: number,
+): Promise<{ status: number; text: string }> {
+  const { request } = await import('node:http');
+  return new Promise((resolve, reject) => {
+    const sent = request(`http://${front}/p/x`, {
+      method: 'POST',
+      agent: false,
+      headers: {
+        host: 'a.example',
+        authorization: 'Token secret-key',
+        'x-attempt-id': `att-${Math.round(performance.now() * 1000)}`,
+        'x-model': 'm',
+        'x-token-usage': `${promptTokens},80`,
+        'x-deadline-ms': '10000',
+      },
+    });
+    sent.on('error', reject);
+    sent.on('response', (response) => {
+      let text = '';
+      response.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      const finish = (): void => resolve({ status: response.statusCode ?? 0, text });
+      response.on('end', finish);
+      response.on('error', finish);
+    });
+    sent.end('{}');
+  });
+}
