List the gateway's settings with the others

Cause: editors had no schema of the gateway's settings file, and the page of settings did not name them. Change: gateway-settings.schema.json and two sections of SETTINGS.md, made by npm run schema and checked by the test that compares them. Measured: nothing, the gateway's programs are unchanged.

--- a/packages/daemon/src/settings/getSchemas.ts
+++ b/packages/daemon/src/settings/getSchemas.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { gatewaySettingsSchema } from '@azurecart/gateway';
 import { releaseSchema } from '@azurecart/protocol';
 import { controlSettingsSchema, entrySettingsSchema } from './settingsSchema.js';
 
@@ -7,6 +8,7 @@
   const schemas = {
     'entry-settings.schema.json': entrySettingsSchema,
     'control-settings.schema.json': controlSettingsSchema,
+    'gateway-settings.schema.json': gatewaySettingsSchema,
     'release.schema.json': releaseSchema,
   };
   const entries = Object.entries(schemas).map(([file, schema]) => {
--- a/packages/daemon/src/settings/getSettingsPage.ts
+++ b/packages/daemon/src/settings/getSettingsPage.ts
@@ -1,4 +1,8 @@
 import { z } from 'zod';
+import {
+  controlSettingsSchema as gatewayControlSchema,
+  entrySettingsSchema as gatewayEntrySchema,
+} from '@azurecart/gateway';
 import { controlSettingsSchema, entrySettingsSchema } from './settingsSchema.js';
 
 interface Node {
@@ -18,6 +22,8 @@
 field, what was expected and what was found. \`azurecartd --settings FILE --check\` checks a file
 without starting anything. The JSON Schemas for editors are in \`docs/schemas\`. This page is made
 from the schemas by \`npm run schema\`. Names that end in Ms are milliseconds, in Bytes bytes.
+The gateway's processes are checked by \`azurecart-gateway --settings FILE --check\`; they ignore
+unknown fields, for the users' platform may add some.
 `;
 
 /** Gets the page that lists every setting with its meaning and default. */
@@ -25,6 +31,8 @@
   const sections = [
     ['Entry process', entrySettingsSchema],
     ['Control process', controlSettingsSchema],
+    ['Gateway: entry process', gatewayEntrySchema],
+    ['Gateway: control process', gatewayControlSchema],
   ] as const;
   const texts = sections.map(([title, schema]) => {
     const root = z.toJSONSchema(schema, { io: 'input' }) as Node;
