Share the engine of the gateway's tests; mend a wrong comment

Cause: two test files described the same engine; a comment said that jobs of removed engines stay known, which they do not. Measured: nothing, behaviour is unchanged.

--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -8,21 +8,9 @@
 import { PlacementService } from '../../src/control/PlacementService.js';
 import { Link } from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
+import { ENGINE } from '../samples.js';
 import { silentLogger, versionCodec } from './ControlCluster.js';
 
-const ENGINE = {
-  capacity: 1,
-  memoryTokens: 405_000,
-  stepMs: 1.31,
-  writerMs: 0.00133,
-  contextMsPerThousand: 0.00213,
-  readTokensPerSecond: 154_000,
-  pairMsPerMillion: 0.162,
-  chunkTokens: 2048,
-  strideSteps: 34,
-  reportLagMs: 200,
-};
-
 function createJob(id: string): EngineJob {
   return {
     id,
@@ -44,7 +32,12 @@
   const record = { id: 'e', bornAt: 1, sequence: 1, service: 's', address: 'a', dataCentre: 'd' };
   table.merge({ ...record, capacity: 1, state: 'ready' });
   const configuration = versionCodec.decode(Buffer.from('1'));
-  configuration.services.push({ name: 's', healthPath: '/', maxConnections: 9, engine: ENGINE });
+  configuration.services.push({
+    name: 's',
+    healthPath: '/',
+    maxConnections: 9,
+    engine: { ...ENGINE, capacity: 1 },
+  });
   const service = new PlacementService({
     table,
     getConfiguration: () => configuration,
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -14,6 +14,7 @@
 import { View } from '../../src/entry/View.js';
 import { LinkServer } from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
+import { ENGINE } from '../samples.js';
 import { getFreePort, silentLogger, versionCodec } from '../control/ControlCluster.js';
 import { RoutingTable } from '../../src/configuration/index.js';
 
@@ -90,19 +91,7 @@
 
 function createRouting(): RoutingTable {
   const configuration = versionCodec.decode(Buffer.from('1'));
-  const engine = {
-    capacity: 4,
-    memoryTokens: 405_000,
-    stepMs: 1.31,
-    writerMs: 0.00133,
-    contextMsPerThousand: 0.00213,
-    readTokensPerSecond: 154_000,
-    pairMsPerMillion: 0.162,
-    chunkTokens: 2048,
-    strideSteps: 34,
-    reportLagMs: 200,
-  };
-  configuration.services.push({ name: 's', healthPath: '/', maxConnections: 9, engine });
+  configuration.services.push({ name: 's', healthPath: '/', maxConnections: 9, engine: ENGINE });
   return new RoutingTable(configuration);
 }
 
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -62,7 +62,7 @@
     return this.queue.length;
   }
 
-  /** Sets the engines that take new jobs; jobs of others stay known until they end. */
+  /** Sets the engines that take new jobs; what runs on others is forgotten with them. */
   setEngines(engines: EngineEntry[]): void {
     const wanted = new Set(engines.map((engine) => engine.id));
     for (const id of this.loads.keys()) if (!wanted.has(id)) this.loads.delete(id);
