Release memory every 0.4 s until no late order can take it again

A late renewal takes the memory again, and releases came only every 2.4 s, of which some were late themselves. Ruled out: holds without renewals (a dead entry process would keep memory beyond the 4 s allowed). Change: releases go out each 0.4 s, not waiting for one another, until one is confirmed and no unanswered renewal can come any more.

--- a/packages/gateway/src/entry/memory/MemoryHold.ts
+++ b/packages/gateway/src/entry/memory/MemoryHold.ts
@@ -19,8 +19,8 @@
 const RENEW_MS = 1500;
 /** Milliseconds for which an order without an answer may still be carried out. */
 const LATE_ORDER_MS = 13_000;
-/** Milliseconds between releases while an order may still be carried out. */
-const SWEEP_MS = 2000;
+/** Milliseconds between releases; ten fit into the time in which memory must be given back. */
+const SWEEP_MS = 400;
 
 /** Memory set aside at one engine, renewed until it is released. */
 export class MemoryHold {
@@ -29,6 +29,9 @@
   /** Monotonic time in milliseconds until which an unanswered order may be carried out. */
   private uncertainUntil = 0;
 
+  /** True once the engine has confirmed the release. */
+  private isReleased = false;
+
   constructor(private readonly options: MemoryHoldOptions) {}
 
   get address(): string {
@@ -69,14 +72,26 @@
     this.ended.abort();
   }
 
-  /** Releases again and again while an unanswered order could set the memory aside anew. */
+  /**
+   * Releases until that is confirmed, and then as long as an unanswered order could set the memory
+   * aside anew. A release may go unanswered too, so the next one does not wait for it.
+   */
   private async sweep(): Promise<void> {
-    const { orders, upstream, ticket } = this.options;
-    const giveUpAt = performance.now() + LATE_ORDER_MS;
+    const giveUpAt = Math.max(this.uncertainUntil, performance.now() + LATE_ORDER_MS);
     while (performance.now() < giveUpAt) {
-      const status = await orders.send(upstream, { kind: 'release', ticket });
-      if (status !== undefined && performance.now() >= this.uncertainUntil) return;
+      if (this.isReleased && performance.now() >= this.uncertainUntil) return;
+      this.sendRelease().catch(this.logFault);
       await sleep(SWEEP_MS);
     }
   }
+
+  private async sendRelease(): Promise<void> {
+    const { orders, upstream, ticket } = this.options;
+    const status = await orders.send(upstream, { kind: 'release', ticket });
+    if (status !== undefined) this.isReleased = true;
+  }
+
+  private readonly logFault = (error: unknown): void => {
+    this.options.logger.error({ err: error, ticket: this.ticket }, 'memory not released');
+  };
 }
