Ask the engine that leads a prompt of several whether it lives

Ruled out: late renewals (no order of that ticket went unanswered). Change: while memory is held elsewhere, LivenessWatch asks the leading engine for its report every 0.7 s; two answers missing end the attempt (2.2 s, memory must be back in 4 s), and the prompt may go elsewhere. The stand-in runner can die silently; the test is red without the watch.

--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -29,7 +29,9 @@
   /** Does not run it and says so. */
   | 'full'
   /** Answers with a failure of its own. */
-  | 'failing';
+  | 'failing'
+  /** Takes connections and answers nothing at all. */
+  | 'dead';
 
 /** A request as a runner saw it. */
 export interface SeenRequest {
@@ -109,11 +111,13 @@
   }
 
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.isDead()) return;
     const expected = request.headers['x-expected-instance'];
     if (expected !== undefined && expected !== this.options.id) {
       request.resume();
       response.writeHead(421).end();
-    } else if (request.url === '/api/order') {
+    } else if (request.url === '/api/report') response.writeHead(200).end('{}');
+    else if (request.url === '/api/order') {
       const status = this.tickets.take((await json(request)) as TicketOrder);
       response.writeHead(status, { 'content-type': 'application/json' }).end('{}');
     } else await this.run(request, response);
@@ -135,10 +139,16 @@
       response.writeHead(500, { ...head, 'x-response-signature': this.options.id }).end('failed');
     else {
       await this.read(tokens, helpers.length + 1);
+      // A runner that died meanwhile says nothing any more.
+      if (this.isDead()) return;
       await this.write(request, response, head);
     }
   }
 
+  private isDead(): boolean {
+    return this.conduct === 'dead';
+  }
+
   /** Reads a part of a prompt after all that is being read. */
   private async read(tokens: number, parts: number): Promise<void> {
     const now = performance.now();
--- a/packages/fakes/tests/gateway.test.ts
+++ b/packages/fakes/tests/gateway.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { SeenRequest } from '../src/runner/index.js';
 import { startGateway, waitFor } from './startGateway.js';
 import type { TestGateway } from './startGateway.js';
 
@@ -18,6 +19,10 @@
 
 const WHOLE = ['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5', 'id: 6'];
 
+function isLong({ headers }: SeenRequest): boolean {
+  return String(headers['x-token-usage']).startsWith('390000');
+}
+
 function getIds(text: string): string[] {
   return text.match(/id: \d+/g) ?? [];
 }
@@ -42,6 +47,22 @@
     await waitFor(() => runners.every(({ tickets }) => tickets.held === 0));
   }));
 
+test('memory held for a runner that died silently is given back within 4 s', () =>
+  withGateway('dead', 5, async ({ runners, send }) => {
+    const sent = send(390_000);
+    const getLeader = () => runners.find(({ seen }) => seen.some(isLong));
+    await waitFor(() => getLeader() !== undefined);
+    const leader = getLeader();
+    if (leader) leader.conduct = 'dead';
+    const diedAt = performance.now();
+    const others = runners.filter((runner) => runner !== leader);
+    const tickets = others.reduce((sum, { tickets: { granted } }) => sum + granted, 0);
+    assert.ok(tickets >= 3);
+    await waitFor(() => others.every(({ tickets: { held } }) => held === 0));
+    assert.ok(performance.now() - diedAt < 4000);
+    await sent;
+  }));
+
 test('a stream goes on at another runner when its own resets or falls silent', () =>
   withGateway('resumed', 3, async ({ runners, send }) => {
     for (const conduct of ['reset', 'silent'] as const) {
--- a/packages/gateway/src/entry/RequestTask.ts
+++ b/packages/gateway/src/entry/RequestTask.ts
@@ -1,3 +1,4 @@
+import type { UpstreamRecord } from '@azurecart/discovery';
 import type { JobEnding } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Route, RoutingTable } from '../configuration/index.js';
@@ -9,7 +10,7 @@
 import type { Exchange } from './Exchange.js';
 import { Job } from './Job.js';
 import { getPatience } from './Patience.js';
-import { JointMemory, OrderClient } from './memory/index.js';
+import { JointMemory, LivenessWatch, OrderClient } from './memory/index.js';
 import type { PlacedHelper, Placer, Reservation } from './Placement.js';
 import type { SharedRetryBudget } from './SharedRetryBudget.js';
 import { UpstreamAttempt } from './UpstreamAttempt.js';
@@ -172,6 +173,8 @@
       return { kind: 'notRun', reason };
     }
     const reservation = this.watchFirstEvent(job, reserved, expectedMs);
+    const silenced = new AbortController();
+    const watch = this.watchLiveness(memory, upstream, silenced);
     let ending: JobEnding = 'orderly';
     let culprit: string | undefined;
     try {
@@ -189,6 +192,7 @@
         helpers: addresses,
         reservation,
         patience,
+        silenced: silenced.signal,
         takeRetry: () => this.takeRetry(job),
       };
       const outcome = await new UpstreamAttempt(parts).run();
@@ -197,11 +201,28 @@
       if (culprit) job.exclude(culprit);
       return outcome;
     } finally {
+      watch?.stop();
       reserved.release(ending, culprit);
       memory.release();
     }
   }
 
+  /** Watches the engine that leads a prompt of several; others need no watch. */
+  private watchLiveness(
+    memory: JointMemory,
+    upstream: UpstreamRecord,
+    silenced: AbortController,
+  ): LivenessWatch | undefined {
+    if (memory.isEmpty) return undefined;
+    const { orders } = this;
+    const onSilent = (): void => silenced.abort();
+    const watch = new LivenessWatch({ upstream, orders, onSilent });
+    watch
+      .run()
+      .catch((error: unknown) => this.options.logger.error({ err: error }, 'watch failed'));
+    return watch;
+  }
+
   private async takeMemory(
     job: Job,
     upstreamId: string,
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -28,6 +28,8 @@
   reservation: Reservation;
   /** How long a silent upstream is waited for; without it until the request's time is over. */
   patience: Patience | undefined;
+  /** Aborted when the upstream is found dead by other means. */
+  silenced: AbortSignal;
   /** Takes a retry from the budget; false when there is none. */
   takeRetry: () => boolean;
 }
@@ -45,7 +47,7 @@
 
   /** Sends the request and passes the answer on as far as it may reach the client. */
   async run(): Promise<AttemptOutcome> {
-    const { health, job, upstream, patience } = this.options;
+    const { health, job, upstream, patience, silenced } = this.options;
     const call = this.createCall();
     const abort = (): void => call.abort();
     this.stall = new StallTimer(() => {
@@ -53,6 +55,7 @@
     });
     if (patience) this.stall.restart(patience.firstMs);
     job.signal.addEventListener('abort', abort);
+    silenced.addEventListener('abort', abort);
     job.addSend(upstream.id);
     try {
       return await this.takeAnswer(await call.send());
@@ -66,6 +69,7 @@
     } finally {
       this.stall.stop();
       job.signal.removeEventListener('abort', abort);
+      silenced.removeEventListener('abort', abort);
       if (job.signal.aborted) call.abort();
     }
   }
--- a/packages/gateway/src/entry/Wire.ts
+++ b/packages/gateway/src/entry/Wire.ts
@@ -34,10 +34,11 @@
   ticket?: string;
 }
 
-/** An order about memory that a prompt of several engines needs. */
-export type MemoryOrder =
+/** An order about memory that a prompt of several engines needs, or a question whether one lives. */
+export type EngineOrder =
   | { kind: 'reserve'; ticket: string; tokens: number; holdMs: number }
-  | { kind: 'release'; ticket: string };
+  | { kind: 'release'; ticket: string }
+  | { kind: 'report' };
 
 /** A call that gives an upstream an order. */
 export interface OrderMessage {
@@ -64,7 +65,7 @@
   /** Gets the headers to send on: the client's, without those that the system sets itself. */
   writeRequest(rawHeaders: string[], terms: DispatchTerms): [string, string][];
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerTerms;
-  writeOrder(upstreamId: string, order: MemoryOrder): OrderMessage;
+  writeOrder(upstreamId: string, order: EngineOrder): OrderMessage;
   /** Path at which the balancer asks whether the process takes requests. */
   readonly readinessPath: string;
 }
--- a/packages/gateway/src/entry/memory/JointMemory.ts
+++ b/packages/gateway/src/entry/memory/JointMemory.ts
@@ -41,6 +41,11 @@
     return this.holds.find((hold) => hold.address === address)?.ticket;
   }
 
+  /** True when no engine but the first one holds anything. */
+  get isEmpty(): boolean {
+    return this.holds.length === 0;
+  }
+
   release(): void {
     this.holds.forEach((hold) => hold.release());
   }
--- a/packages/gateway/src/entry/memory/OrderClient.ts
+++ b/packages/gateway/src/entry/memory/OrderClient.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '@azurecart/telemetry';
 import { UpstreamCall } from '../../upstreams/index.js';
 import type { UpstreamAgent } from '../../upstreams/index.js';
-import type { MemoryOrder, Wire } from '../Wire.js';
+import type { EngineOrder, Wire } from '../Wire.js';
 
 /** What sends orders to engines. */
 export interface OrderClientOptions {
@@ -21,7 +21,7 @@
   constructor(private readonly options: OrderClientOptions) {}
 
   /** Sends an order and gets the status of the answer; undefined when none came in time. */
-  async send(upstream: UpstreamRecord, order: MemoryOrder): Promise<number | undefined> {
+  async send(upstream: UpstreamRecord, order: EngineOrder): Promise<number | undefined> {
     const { wire, agent, logger } = this.options;
     const { method, path, headers, body } = wire.writeOrder(upstream.id, order);
     const call = new UpstreamCall({
