--- a/packages/gateway/src/entry/EntryProtocol.ts
+++ b/packages/gateway/src/entry/EntryProtocol.ts
@@ -14,6 +14,8 @@
   maxOutputTokens: number | undefined;
   /** Id of the last event that the client received of a stream that it resumes. */
   lastEventId: string | undefined;
+  /** Ids of the parts of the prompt that other requests may contain as well. */
+  sharedParts: string[];
 }
 
 /** Metadata that the entry process adds to a request sent to an upstream. */
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -98,6 +98,11 @@
     return this.options.metadata.promptTokens ?? 0;
   }
 
+  /** Ids of the parts that the prompt may share with other requests. */
+  get sharedParts(): string[] {
+    return this.options.metadata.sharedParts;
+  }
+
   /** Id of this attempt of the client, logged as `request`. */
   get clientAttemptId(): string | undefined {
     return this.options.metadata.clientAttemptId;
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -33,6 +33,7 @@
     promptTokens: undefined,
     maxOutputTokens: undefined,
     lastEventId: headers.last as string | undefined,
+    sharedParts: headers.parts === undefined ? [] : String(headers.parts).split(','),
   }),
   buildRequestHeaders: (raw: string[], metadata: UpstreamRequestMetadata) => {
     const pairs: [string, string][] = [];
