--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -24,6 +24,10 @@
   /** Address to announce instead of the runner's own, such as that of a relay. */
   announcedAddress?: string;
   host?: string;
+  /** Ids of the prompt parts that end the runner when it begins to answer a prompt with one. */
+  deadlyParts?: ReadonlySet<string>;
+  /** Called after such a prompt has ended the runner. */
+  onCrash?: () => void;
 }
 
 /** Normal operation of a runner, or the failure that it simulates. */
@@ -296,6 +300,21 @@
     }
   }
 
+  /** Ends the runner; the connections of all its requests are reset. */
+  private crash(record: RecordedRequest): void {
+    endRequest(record, 'brokenOff');
+    this.stop();
+    this.options.onCrash?.();
+  }
+
+  /** Tells whether a prompt has a deadly part; the last part counts as the request's own. */
+  private hasDeadlyPart({ headers }: IncomingMessage): boolean {
+    const parts = String(headers['x-prefix-hash'] ?? '').split(',');
+    return parts
+      .slice(0, -1)
+      .some((part) => this.options.deadlyParts?.has(part.split(':')[0] ?? ''));
+  }
+
   private isUnresponsive(): boolean {
     return this.behaviour === 'unresponsive';
   }
@@ -323,6 +342,11 @@
       'content-type': 'text/event-stream',
       'x-response-signature': id,
     });
+    if (this.hasDeadlyPart(request)) {
+      response.flushHeaders();
+      this.crash(record);
+      return;
+    }
     this.decodingCount += 1;
     try {
       for (let event = firstEvent; event <= eventCount; event += 1) {
