Treat a stream with neither length nor events as broken off

A response without length and chunks ends with its connection. A stream whose upstream ended right after its head was relayed as a complete answer without events. Such a stream is now retried, unless the client itself resumes after an event, as there may be none left.

--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -200,6 +200,9 @@
     }
     if (!(await completion.isComplete()) || context.signal.aborted || eventSplitter.hasPartialEvent)
       return { kind: 'unknown', reason: 'stream broke off' };
+    // An upstream that ends after its head leaves the same bytes.
+    if (completion.isCloseDelimited && context.lastEventId === undefined)
+      return { kind: 'unknown', reason: 'stream without length and events' };
     writeHead();
     exchange.response.end(eventSplitter.trailingBytes);
     health.recordSuccess(upstream.id);
--- a/packages/gateway/src/upstreams/ResponseCompletion.ts
+++ b/packages/gateway/src/upstreams/ResponseCompletion.ts
@@ -33,6 +33,11 @@
     });
   }
 
+  /** True if only the end of the connection ends the response. */
+  get isCloseDelimited(): boolean {
+    return !this.isDelimited;
+  }
+
   /** Returns whether the response is complete; call it after reading the body to its end. */
   async isComplete(): Promise<boolean> {
     if (!this.response.complete) return false;
