Quarantine prompt parts that end the engines which answer them

Callers saw prompts of one kind fail and runners end one after the other. Cause: nothing connected the ends of different runners.

Change: an entry process that loses an attempt before its first event and finds the port closed accuses the shared parts of the prompt. PoisonTable joins the reports of all processes by the lifetime of the engine; an answer clears the parts of its prompt, a crash with a part that explains more of them accuses no other, and engines that end together count once. A suspect part is tried by one prompt at a time on an engine without others; three successive crashes quarantine it, with rare trials and none after the seventh. Findings are exchanged on each change and at both ends of each new link, so they outlive restarts, another scheduler and cuts; control processes keep quarantines on disk.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -20,6 +20,8 @@
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfigurationError } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
+import { Findings, FindingsFile } from '../findings/index.js';
+import type { FindingsUpdate } from '../findings/index.js';
 import { LinkServer, listenAt } from '../links/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { getSeedLinkAddresses } from '../settings/index.js';
@@ -91,6 +93,10 @@
 
   private readonly table: UpstreamTable;
 
+  private readonly findings: Findings;
+
+  private findingsFile: FindingsFile | undefined;
+
   private readonly publisher: UpdatePublisher;
 
   private readonly linkPool: LinkPool;
@@ -129,9 +135,11 @@
       onChanged: () => this.publisher.pushConfiguration(),
     });
     this.table = new UpstreamTable({ now });
+    this.findings = new Findings({ now, logger });
     this.publisher = new UpdatePublisher({
       state: this.state,
       table: this.table,
+      findings: this.findings,
       now,
       isRecent: () => this.replica?.isRecent(MAX_LEADER_SILENCE_MS) ?? false,
       getCluster: () => this.getCluster(),
@@ -139,8 +147,10 @@
     this.placement = new PlacementService({
       table: this.table,
       getConfiguration: () => this.state.configuration,
+      findings: this.findings,
       logger,
     });
+    this.findings.changes.subscribe((update) => this.passOnFindings(update));
     this.linkPool = new LinkPool({
       ownAddress: this.ownAddress,
       handlers: this.handlers,
@@ -150,7 +160,10 @@
       host: settings.host,
       port: settings.linkPort,
       handlers: this.handlers,
-      onLink: (link) => this.placement.attach(link),
+      onLink: (link) => {
+        this.placement.attach(link);
+        this.receiveFindings(link);
+      },
     });
     this.operatorServer = createControlServer({ protocol, control: this, logger });
     this.addHandlers();
@@ -159,6 +172,7 @@
   /** Starts the replica, the listeners and the background tasks. */
   async start(): Promise<void> {
     const { settings, logger } = this.options;
+    await this.loadFindings();
     await this.linkServer.start();
     await this.openReplica().catch((error: unknown) => {
       logger.error({ err: error }, 'failed to open the replica storage');
@@ -332,6 +346,7 @@
     link.notifications.subscribe(({ method, body }) => {
       if (method === METHODS.upstreams) this.mergeUpstreams(body as UpstreamUpdate);
     });
+    this.receiveFindings(link);
     const subscription: Subscription = {
       kind: 'control',
       vm: this.options.settings.vm,
@@ -340,6 +355,32 @@
     link.call(METHODS.subscribe, subscription, QUORUM_TIMEOUT_MS).catch(() => link.close());
   }
 
+  /** Merges the findings of another process, and passes on what is new here. */
+  private receiveFindings(link: Link): void {
+    link.notifications.subscribe(({ method, body }) => {
+      if (method !== METHODS.findings) return;
+      const changed = this.findings.merge(body as FindingsUpdate);
+      if (changed) this.passOnFindings(changed, link);
+    });
+  }
+
+  private passOnFindings(update: FindingsUpdate, source?: Link): void {
+    this.publisher.pushFindings(update, source);
+    this.findingsFile?.save().catch(() => undefined);
+  }
+
+  /** Merges the findings on disk; entry processes get them with their subscription. */
+  private async loadFindings(): Promise<void> {
+    const { settings, logger } = this.options;
+    try {
+      const disk = await FolderDisk.open(settings.dataFolder);
+      this.findingsFile = new FindingsFile({ disk, findings: this.findings, logger });
+      await this.findingsFile.load();
+    } catch (error) {
+      logger.warn({ err: error }, 'no stored findings');
+    }
+  }
+
   private mergeUpstreams({ records }: UpstreamUpdate): void {
     for (const { ageMs, ...announcement } of records) {
       const result = this.table.merge(announcement, ageMs);
@@ -432,6 +473,7 @@
       await sleep(MAINTENANCE_INTERVAL_MS);
       this.linkPool.retain([...this.seeds, ...this.getCluster().members]);
       this.table.removeExpired();
+      this.findings.removeExpired();
       this.shareAnnouncedUpstreams();
       this.refreshUpstreams();
       const cluster = JSON.stringify(this.getCluster());
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -3,6 +3,7 @@
 import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Configuration, Service } from '../configuration/index.js';
+import type { Findings } from '../findings/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { METHODS } from './messages.js';
 import type {
@@ -17,10 +18,12 @@
   table: UpstreamTable;
   /** Gets the current configuration; undefined before the first document is committed. */
   getConfiguration: () => Configuration | undefined;
+  findings: Findings;
   logger: Logger;
 }
 
 interface TrackedJob {
+  job: EngineJob;
   scheduler: EngineScheduler;
   link: Link;
 }
@@ -85,7 +88,7 @@
     scheduler.setEngines(this.options.table.getReady(job.service));
     const decision = scheduler.place(job);
     this.entryLinks.add(link);
-    if (decision.kind !== 'refused') this.jobs.set(job.id, { scheduler, link });
+    if (decision.kind !== 'refused') this.jobs.set(job.id, { job, scheduler, link });
     if (decision.kind !== 'placed') this.logDecision(job.id, decision);
     return decision;
   }
@@ -96,11 +99,14 @@
     scheduler.setEngines(this.options.table.getReady(job.service));
     this.entryLinks.add(link);
     scheduler.adopt(job, upstream, helpers, isWriting);
-    this.jobs.set(job.id, { scheduler, link });
+    this.jobs.set(job.id, { job, scheduler, link });
   }
 
   private handleProgress(id: string): void {
-    this.jobs.get(id)?.scheduler.markDecoding(id);
+    const known = this.jobs.get(id);
+    if (!known) return;
+    this.options.findings.recordAnswer(known.job.parts);
+    known.scheduler.markDecoding(id);
   }
 
   private release({ id, ending, culprit: faultyHelperId }: JobUpdate): void {
@@ -123,6 +129,7 @@
       profile,
       now: () => performance.now(),
       onDecided: (id, decision) => this.sendDecision(id, decision),
+      poison: this.options.findings.poison,
     });
     this.schedulers.set(service, scheduler);
     return scheduler;
--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -1,5 +1,6 @@
 import { deflateRawSync } from 'node:zlib';
 import type { UpstreamRecord, UpstreamTable } from '@azurecart/discovery';
+import type { Findings, FindingsUpdate } from '../findings/index.js';
 import type { Link } from '../links/index.js';
 import type { ConfigurationState } from './ConfigurationState.js';
 import { METHODS } from './messages.js';
@@ -9,6 +10,7 @@
 export interface UpdatePublisherOptions {
   state: ConfigurationState;
   table: UpstreamTable;
+  findings: Findings;
   now: () => number;
   /** Returns false while the local configuration may be older than an acknowledged one. */
   isRecent: () => boolean;
@@ -41,6 +43,8 @@
     link.notify(METHODS.upstreams, {
       records: this.options.table.getRecords().map(this.toAgedAnnouncement),
     });
+    // Before the configuration, without which an entry process serves no requests.
+    link.notify(METHODS.findings, this.options.findings.getAll());
     this.pushConfigurationTo(subscriber);
     this.pushCluster();
   }
@@ -67,6 +71,13 @@
     this.getEntrySubscribers().forEach(({ link }) => link.notify(METHODS.upstreams, body));
   }
 
+  /** Sends findings to all subscribers but the one that they came from. */
+  pushFindings(update: FindingsUpdate, source?: Link): void {
+    this.subscribers.forEach(({ link }) => {
+      if (link !== source) link.notify(METHODS.findings, update);
+    });
+  }
+
   /** Sends a changed upstream and waits until all subscribers have confirmed it or timed out. */
   async confirmUpstream(record: UpstreamRecord): Promise<void> {
     const body = { records: [this.toAgedAnnouncement(record)] };
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -20,6 +20,7 @@
   progress: 'progress',
   release: 'release',
   lightEngines: 'lightEngines',
+  findings: 'findings',
 } as const;
 
 /** Response of a control process to one that is looking for its cluster. */
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -2,6 +2,7 @@
 import { BehaviorSubject } from 'rxjs';
 import { UpstreamTable } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
+import { Findings } from '../findings/index.js';
 import { RoutingTable } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
 import type { ClusterUpdate, ConfigurationUpdate, UpstreamUpdate } from '../control/messages.js';
@@ -19,6 +20,8 @@
 export class ClusterView {
   readonly upstreamTable = new UpstreamTable({ now: () => performance.now() });
 
+  readonly findings: Findings;
+
   routing: RoutingTable | undefined;
 
   readonly cluster = new BehaviorSubject<ClusterUpdate>({
@@ -28,7 +31,9 @@
     entries: 1,
   });
 
-  constructor(private readonly options: ClusterViewOptions) {}
+  constructor(private readonly options: ClusterViewOptions) {
+    this.findings = new Findings({ now: () => performance.now(), logger: options.logger });
+  }
 
   get version(): number {
     return this.routing?.version ?? 0;
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -7,6 +7,7 @@
   Subscription,
   UpstreamUpdate,
 } from '../control/messages.js';
+import type { FindingsUpdate } from '../findings/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { getSeedLinkAddresses } from '../settings/index.js';
 import type { EntrySettings } from '../settings/index.js';
@@ -41,6 +42,7 @@
   }
 
   start(): void {
+    this.options.view.findings.changes.subscribe((update) => this.sendFindings(update));
     this.linkPool.retain(this.seeds);
   }
 
@@ -60,6 +62,13 @@
     const subscription: Subscription = { kind: 'entry', vm: settings.vm, version: view.version };
     // After a failure the link is closed; the pool reconnects, which subscribes again.
     link.call(METHODS.subscribe, subscription, SUBSCRIBE_TIMEOUT_MS).catch(() => link.close());
+    // The control process may have restarted, or was cut off from others that know them.
+    link.notify(METHODS.findings, view.findings.getAll());
+  }
+
+  private sendFindings(update: FindingsUpdate): void {
+    for (const address of this.linkPool.getAddresses())
+      this.linkPool.getLink(address).current?.notify(METHODS.findings, update);
   }
 
   private handleNotification(method: string, body: unknown): void {
@@ -68,6 +77,7 @@
       if (method === METHODS.upstreams) view.mergeUpstreams(body as UpstreamUpdate);
       else if (method === METHODS.configuration)
         view.updateConfiguration(body as ConfigurationUpdate);
+      else if (method === METHODS.findings) view.findings.merge(body as FindingsUpdate);
       else if (method === METHODS.cluster) this.updateCluster(body as ClusterUpdate);
     } catch (error) {
       logger.error({ err: error, method }, 'control notification failed, update ignored');
--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -57,6 +57,12 @@
       'Upstreams that take work',
       () => view.upstreamTable.getRecords().filter(({ state }) => state === 'ready').length,
     );
+    addGauge(
+      registry,
+      'prompt_parts_quarantined',
+      'Prompt parts that have ended several engines',
+      () => view.findings.poison.getQuarantined().length,
+    );
   }
 
   recordRequest(kind: string, outcome: string, elapsedMs: number): void {
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -67,6 +67,7 @@
     this.requestHandler = new RequestHandler({
       protocol,
       health: this.health,
+      findings: this.view.findings,
       placer: this.createPlacer(),
       agent: new UpstreamAgent(),
       metrics: new EntryMetrics(this.registry, this.view, () => this.openExchanges.size),
@@ -210,6 +211,7 @@
 
   private expireUpstreams(): void {
     this.view.upstreamTable.removeExpired();
+    this.view.findings.removeExpired();
     this.health.retain((id) => this.view.upstreamTable.getUpstream(id) !== undefined);
   }
 }
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -17,6 +17,8 @@
   waitedMs: number;
   priority: number;
   customer: string | undefined;
+  /** Parts of the prompt that other prompts may contain as well, in terms of findings. */
+  parts: string[];
   /** Ids of upstreams that have been tried for this request or were named as faulty helpers. */
   excluded: Set<string>;
 }
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -98,9 +98,9 @@
     return this.options.metadata.promptTokens ?? 0;
   }
 
-  /** Ids of the parts that the prompt may share with other requests. */
-  get sharedParts(): string[] {
-    return this.options.metadata.sharedParts;
+  /** Names of the parts that the prompt may share with others for the service, for findings. */
+  get parts(): string[] {
+    return this.options.metadata.sharedParts.map((part) => `${this.service}/${part}`);
   }
 
   /** Id of this attempt of the client, logged as `request`. */
@@ -207,6 +207,7 @@
       waitedMs: this.exchange.elapsedMs,
       priority: this.priority,
       customer: this.customerName,
+      parts: this.parts,
       excluded: this.excluded,
     };
   }
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -1,11 +1,14 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { JobEnding } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Route, RoutingTable } from '../configuration/index.js';
 import type { UpstreamAgent } from '../upstreams/index.js';
 import type { AttemptOutcome } from './AttemptOutcome.js';
+import type { Findings } from '../findings/index.js';
 import { BodyTooLargeError } from './BodyTooLargeError.js';
 import { ClientDisconnectedError } from './ClientDisconnectedError.js';
+import { CrashDetector } from './CrashDetector.js';
 import type { EntryMetrics } from './EntryMetrics.js';
 import type { Exchange } from './Exchange.js';
 import type { ProcessLifetime } from './ProcessLifetime.js';
@@ -25,6 +28,7 @@
   protocol: EntryProtocol;
   placer: Placer;
   health: UpstreamHealth;
+  findings: Findings;
   agent: UpstreamAgent;
   metrics: EntryMetrics;
   getRetryBudget: (service: string) => RetryBudgetShare;
@@ -41,6 +45,8 @@
  * upstream states so, the connection was not established, or a helper did not grant memory.
  */
 const EXTRA_ATTEMPTS = 3;
+/** Milliseconds for which a request waits until its upstream is known to have ended. */
+const CRASH_CHECK_MS = 50;
 /** Delay in milliseconds before a client may retry a request that no upstream has executed. */
 const NOT_RUN_RETRY_AFTER_MS = 300;
 /** Delay before a client may retry on a process that has just started, in milliseconds. */
@@ -59,6 +65,8 @@
 
   private readonly durations = new RouteDurations();
 
+  private readonly crashDetector = new CrashDetector();
+
   private readonly openContexts = new Set<RequestContext>();
 
   constructor(private readonly options: RequestHandlerOptions) {
@@ -163,7 +171,7 @@
           abortedBy: context.signal.aborted ? String(context.signal.reason) : undefined,
           runs: context.runs,
           upstream: context.lastPlacement?.upstream,
-          parts: context.sharedParts,
+          parts: context.parts,
           lastEventId: context.lastEventId,
           elapsedMs: Math.round(context.exchange.elapsedMs),
         },
@@ -243,8 +251,12 @@
         unresponsive: unresponsive.signal,
         reserveRetry: () => this.reserveRetry(context),
       };
+      const { lastEventId } = context;
+      const sentAt = performance.now();
       const outcome = await new UpstreamAttempt(attemptOptions).run();
       if (!context.signal.aborted) ending = getEnding(outcome);
+      if (outcome.kind === 'unknown' && context.lastEventId === lastEventId)
+        await this.recordCrash(context, upstream, sentAt);
       if (outcome.kind === 'notRun')
         faultyHelperId = getFaultyHelper(outcome, upstream.id, helpers);
       if (faultyHelperId) context.exclude(faultyHelperId);
@@ -256,6 +268,27 @@
     }
   }
 
+  /**
+   * Records that an upstream has ended if it has, before the request is placed again. Waits only
+   * briefly, since others than ended upstreams may take long to show that they have not.
+   */
+  private async recordCrash(
+    context: RequestContext,
+    upstream: UpstreamRecord,
+    sentAt: number,
+  ): Promise<void> {
+    const { findings, logger } = this.options;
+    const { parts } = context;
+    if (parts.length === 0 || context.signal.aborted) return;
+    const recording = this.crashDetector.hasEnded(upstream).then((hasEnded) => {
+      if (!hasEnded) return;
+      const request = context.clientAttemptId;
+      logger.info({ request, upstream: upstream.id, parts }, 'engine ended before the first event');
+      findings.recordCrash(`${upstream.id}@${upstream.bornAt}`, parts, sentAt);
+    });
+    await Promise.race([recording, sleep(CRASH_CHECK_MS)]);
+  }
+
   /** Monitors the engine to which a prompt was sent, if other engines hold memory for it. */
   private monitorLiveness(
     memory: MemoryReservationGroup,
@@ -301,7 +334,7 @@
     handle: PlacementHandle,
     expectedMs: number | undefined,
   ): PlacementHandle {
-    const { metrics } = this.options;
+    const { metrics, findings } = this.options;
     const sentAt = performance.now();
     let hasEvent = false;
     return {
@@ -311,6 +344,7 @@
         if (hasEvent) return;
         hasEvent = true;
         handle.reportProgress();
+        findings.recordAnswer(context.parts);
         const observedMs = performance.now() - sentAt;
         context.recordFirstEvent(observedMs);
         metrics.recordFirstEvent(context.priority, context.exchange.elapsedMs);
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
+import { MAX_QUARANTINE_RETRY_MS } from '@azurecart/scheduling';
 import type { EngineDecision, EngineHelper, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import { METHODS } from '../control/messages.js';
@@ -62,6 +63,8 @@
     const { view, fallback, schedulers } = this.options;
     const hasEngine = view.routing?.getService(request.service)?.engine !== undefined;
     if (!hasEngine || request.promptTokens === 0) return fallback.place(request, signal);
+    const verdict = view.findings.poison.judge(request.parts);
+    if (verdict.kind === 'quarantined') return refuseQuarantined(verdict.retryAfterMs);
     const job = this.createJob(request);
     let timeoutShare = FIRST_SCHEDULER_SHARE;
     for (const link of this.refreshSchedulers().filter((each) => !schedulers.isPaused(each))) {
@@ -126,6 +129,9 @@
   ): Promise<Placement> {
     if (this.exceedsEngineMemory(request))
       return { kind: 'refused', reason: 'no scheduler', retryAfterMs: NO_DECISION_RETRY_AFTER_MS };
+    // Only a scheduler can try a suspect part at one engine at a time.
+    if (this.options.view.findings.poison.isRepeatedlyAccused(request.parts))
+      return refuseQuarantined(NO_DECISION_RETRY_AFTER_MS);
     const placement = await this.options.fallback.place(request, signal);
     if (placement.kind !== 'placed') return placement;
     const job = this.createJob(request);
@@ -241,10 +247,16 @@
       remainingMs: request.remainingMs,
       waitedMs: request.waitedMs,
       excluded: [...request.excluded],
+      parts: request.parts,
     };
   }
 }
 
+function refuseQuarantined(retryAfterMs: number): Placement {
+  const reason = 'a part of the prompt is quarantined';
+  return { kind: 'refused', reason, retryAfterMs: Math.min(retryAfterMs, MAX_QUARANTINE_RETRY_MS) };
+}
+
 /**
  * Gets the total time that may be spent waiting for schedulers: a share of the latency objective,
  * or of the remaining time if the objective has already been missed, and at most
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -6,6 +6,7 @@
 import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
 import { METHODS } from '../../src/control/messages.js';
 import { PlacementService } from '../../src/control/PlacementService.js';
+import { Findings } from '../../src/findings/index.js';
 import { Link } from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
 import { ENGINE } from '../samples.js';
@@ -23,6 +24,7 @@
     remainingMs: 5000,
     waitedMs: 0,
     excluded: [],
+    parts: [],
   };
 }
 
@@ -41,6 +43,7 @@
   const service = new PlacementService({
     table,
     getConfiguration: () => configuration,
+    findings: new Findings({ now: () => performance.now(), logger: silentLogger }),
     logger: silentLogger,
   });
   const handlers = new Map<string, CallHandler>();
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -86,6 +86,7 @@
   waitedMs: 0,
   priority: 0,
   customer: undefined,
+  parts: [],
   excluded: new Set(),
 };
 
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -130,6 +130,7 @@
     protocol,
     placer: heldTokens === 0 ? leastLoaded : addHelper(leastLoaded, view, heldTokens),
     health,
+    findings: view.findings,
     agent,
     metrics: new EntryMetrics(new Registry(), view, () => 0),
     getRetryBudget: () => budget,
--- a/packages/scheduling/src/engines/EngineJob.ts
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -20,6 +20,8 @@
   waitedMs: number;
   /** Ids of engines on which the request has failed. */
   excluded: string[];
+  /** Parts of the prompt that other prompts may contain as well. */
+  parts: string[];
 }
 
 /** An engine that prefills a part of a prompt for another engine. */
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -1,3 +1,4 @@
+import { MAX_QUARANTINE_RETRY_MS, PoisonTable } from '../poison/index.js';
 import {
   chooseForLongPrompt,
   chooseForShortPrompt,
@@ -16,6 +17,7 @@
 import type { EngineDescriptor } from './EngineLoad.js';
 import { LatencyModel } from './LatencyModel.js';
 import type { PerformanceProfile } from './LatencyModel.js';
+import { PartTrials } from './PartTrials.js';
 
 export interface EngineSchedulerOptions {
   profile: PerformanceProfile;
@@ -23,6 +25,8 @@
   now: () => number;
   /** Called when a queued job is placed or refused. */
   onDecided: (id: string, decision: EngineDecision) => void;
+  /** Evidence about prompt parts that end engines; without it, none is known. */
+  poison?: PoisonTable;
 }
 
 interface QueuedJob {
@@ -56,12 +60,17 @@
 
   private readonly health = new EngineHealth();
 
+  private readonly trials = new PartTrials();
+
+  private readonly poison: PoisonTable;
+
   private queue: QueuedJob[] = [];
 
   private model: LatencyModel;
 
   constructor(private readonly options: EngineSchedulerOptions) {
     this.model = new LatencyModel(options.profile);
+    this.poison = options.poison ?? new PoisonTable({ now: options.now });
   }
 
   get queueLength(): number {
@@ -110,6 +119,7 @@
 
   /** Marks a job as prefilled, after its first event. */
   markDecoding(id: string): void {
+    this.trials.end(id);
     for (const [engine, load] of this.loads) {
       if (load.markDecoding(id)) this.health.recordResponse(engine);
       load.markDecoding(getHelperJobId(id));
@@ -133,6 +143,7 @@
    */
   release(id: string, ending: JobEnding = 'orderly', faultyHelperId?: string): void {
     const now = this.options.now();
+    this.trials.end(id);
     if (faultyHelperId !== undefined) this.health.recordEnding(faultyHelperId, id, ending, now);
     this.queue = this.queue.filter(({ job }) => job.id !== id);
     for (const [engine, load] of this.loads) {
@@ -170,7 +181,15 @@
     const remainingMs = deadlineAt - now;
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
     const { maxHeldTokens } = this;
-    const candidates = this.getCandidates(job, maxHeldTokens, now);
+    const verdict = this.poison.judge(job.parts);
+    if (verdict.kind === 'quarantined') return getQuarantineRefusal(verdict.retryAfterMs);
+    const suspectParts = verdict.kind === 'suspect' ? verdict.parts : [];
+    if (this.trials.isRunning(suspectParts))
+      return remainingMs < prefillMs + MIN_DECODE_MS
+        ? this.refuse('the time left is too short')
+        : QUEUED;
+    const usable = this.getCandidates(job, maxHeldTokens, now);
+    const candidates = suspectParts.length > 0 ? getLeastUsed(usable) : usable;
     const context = {
       job,
       candidates,
@@ -184,7 +203,7 @@
     };
     if (this.needsMultipleEngines(job)) {
       const choice = chooseMultipleEngines(context);
-      if (choice) return this.assign(job, choice, prefillMs, now);
+      if (choice) return this.assign(job, choice, prefillMs, suspectParts, now);
       return this.queueMultiEngineJob(job, prefillMs, remainingMs, maxHeldTokens);
     }
     const isLong = prefillMs > LONG_PREFILL_MS;
@@ -194,7 +213,7 @@
       choice &&
       (choice.isAcceptable || !canWaitForIdleEngine(isLong, slackMs, prefillMs, remainingMs))
     )
-      return this.assign(job, choice, prefillMs, now);
+      return this.assign(job, choice, prefillMs, suspectParts, now);
     // Lower bound of the time needed, with the most helpers; short prompts get none.
     if (remainingMs < prefillMs / (MAX_HELPERS + 1) + MIN_DECODE_MS)
       return this.refuse('the time left is too short');
@@ -273,7 +292,10 @@
     const healthy = usable.filter(({ engine }) => this.health.isUsable(engine.id, now));
     const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
     return (healthy.length > 0 ? healthy : usable).filter(
-      (load) => !load.isFull && load.heldTokens + heldTokens <= maxHeldTokens,
+      (load) =>
+        !load.isFull &&
+        !this.trials.hasEngine(load.engine.id) &&
+        load.heldTokens + heldTokens <= maxHeldTokens,
     );
   }
 
@@ -298,6 +320,7 @@
     job: EngineJob,
     choice: EngineChoice,
     prefillMs: number,
+    suspectParts: string[],
     now: number,
   ): EngineDecision {
     const { load, helpers, heldTokens } = choice;
@@ -306,6 +329,7 @@
     const expectedMs = Math.max(...engines.map((each) => each.getFirstEventMs(partMs, now)));
     load.add(job, { prefillMs: partMs, heldTokens }, now);
     this.health.recordJob(load.engine.id, job.id);
+    if (suspectParts.length > 0) this.trials.start(job.id, load.engine.id, suspectParts);
     const helperJob = { ...job, id: getHelperJobId(job.id) };
     helpers.forEach((helper) =>
       helper.load.add(
@@ -333,6 +357,17 @@
   }
 }
 
+function getQuarantineRefusal(retryAfterMs: number): EngineDecision {
+  const reason = 'a part of the prompt is quarantined';
+  return { kind: 'refused', reason, retryAfterMs: Math.min(retryAfterMs, MAX_QUARANTINE_RETRY_MS) };
+}
+
+/** Gets the idle engines or, if there are none, those with the fewest jobs. */
+function getLeastUsed(candidates: EngineLoad[]): EngineLoad[] {
+  const fewest = Math.min(...candidates.map(({ size }) => size));
+  return candidates.filter(({ size }) => size === fewest);
+}
+
 /** Gets the time by which the first event is due to meet the objective. */
 function getFirstEventDueAt({ job, arrivedAt }: QueuedJob): number {
   return arrivedAt + job.objectiveMs;
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -27,6 +27,7 @@
     remainingMs: 10_000,
     waitedMs: 0,
     excluded: [],
+    parts: [],
     ...SHORT,
     ...fields,
   };
