Play deadly prompt parts in the soak

Its prompts now share first parts, and for some seconds each a new part ends the runners that answer it, beside the other faults, with draws of its own. The check counts the prompts that entry processes in touch send later than ContactMs after the fifth crash.

--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -26,8 +26,8 @@
   host?: string;
   /** Ids of the prompt parts that end the runner when it begins to answer a prompt with one. */
   deadlyParts?: ReadonlySet<string>;
-  /** Called after such a prompt has ended the runner. */
-  onCrash?: () => void;
+  /** Called with the parts of such a prompt after it has ended the runner. */
+  onCrash?: (parts: string) => void;
 }
 
 /** Normal operation of a runner, or the failure that it simulates. */
@@ -301,10 +301,10 @@
   }
 
   /** Ends the runner; the connections of all its requests are reset. */
-  private crash(record: RecordedRequest): void {
+  private crash(request: IncomingMessage, record: RecordedRequest): void {
     endRequest(record, 'brokenOff');
     this.stop();
-    this.options.onCrash?.();
+    this.options.onCrash?.(String(request.headers['x-prefix-hash']));
   }
 
   /** Tells whether a prompt has a deadly part; the last part counts as the request's own. */
@@ -344,7 +344,7 @@
     });
     if (this.hasDeadlyPart(request)) {
       response.flushHeaders();
-      this.crash(record);
+      this.crash(request, record);
       return;
     }
     this.decodingCount += 1;
--- a/packages/fakes/src/soak/Bounds.ts
+++ b/packages/fakes/src/soak/Bounds.ts
@@ -10,6 +10,8 @@
   rollbackSlackMs: 250,
   acknowledgementMs: 4000,
   recoveryMs: 12_000,
+  /** Prompts with a part that has ended five runners that may still be sent. */
+  poisonedRequests: 3,
   retryRatio: 0.2,
   retryWindowSeconds: 10,
   retryExtra: 100,
--- a/packages/fakes/src/soak/ClientWorkload.ts
+++ b/packages/fakes/src/soak/ClientWorkload.ts
@@ -13,6 +13,8 @@
   checks: RequestChecks;
   pickEntry: () => GatewayProcess;
   getRelayAddress: (entry: GatewayProcess) => string;
+  /** Gets the parts that a prompt shares with others. */
+  getSharedParts: () => string[];
 }
 
 /** One client in so many is connected through a relay, coprime to the number of kinds. */
@@ -100,6 +102,7 @@
       tokens: isStream
         ? { prompt: random.nextInteger(50, 4000), output: random.nextInteger(...output) }
         : undefined,
+      parts: isStream ? [...this.options.getSharedParts(), id] : undefined,
       leavesAfterMs: leaves ? random.nextInteger(...LEAVES_AFTER_MS) : undefined,
     };
   }
--- a/packages/fakes/src/soak/RequestChecks.ts
+++ b/packages/fakes/src/soak/RequestChecks.ts
@@ -6,7 +6,7 @@
 import type { Disturbances } from './Disturbances.js';
 import type { RunnerRequest } from './RunnerFleet.js';
 import { checkStream } from './checkStream.js';
-import { HANG_UP } from './SoakClient.js';
+import { formatParts, HANG_UP } from './SoakClient.js';
 import type { SoakRequest, SoakResult } from './SoakClient.js';
 
 /** A request of a client, its result and what the runners received for it. */
@@ -95,6 +95,13 @@
     return sent.filter(({ result }) => isSuccess(result)).length / Math.max(1, sent.length);
   }
 
+  /** Gets what runners have received, with the entry processes that sent it. */
+  getArrivals(): { entry: string; request: SoakRequest; run: RunnerRequest }[] {
+    return [...this.attempts.values()].flatMap(({ entry, request, runs }) =>
+      runs.map((run) => ({ entry, request, run })),
+    );
+  }
+
   /** Checks requests as they arrive at runners. */
   addRuns(runs: RunnerRequest[]): void {
     runs.forEach((run) => {
@@ -404,13 +411,14 @@
 
 /** Tells whether a runner received a request as its client sent it, without the key. */
 function isUnchanged({ request }: Attempt, { record }: RunnerRequest): boolean {
-  const { tokens, customer } = request;
+  const { tokens, customer, parts } = request;
   const usage = tokens && `${tokens.prompt},${tokens.output}`;
   return (
     record.method === request.method &&
     record.path === request.path &&
     record.body === request.body &&
     record.headers['x-token-usage'] === usage &&
+    record.headers['x-prefix-hash'] === (parts && formatParts(parts)) &&
     record.headers['x-tenant-id'] === customer.name &&
     record.headers.authorization === undefined
   );
--- a/packages/fakes/src/soak/RunnerFleet.ts
+++ b/packages/fakes/src/soak/RunnerFleet.ts
@@ -37,6 +37,7 @@
 const HEARTBEAT_MS = 1000;
 const TOKENS_PER_EVENT = 34;
 const WORK_MS = 40;
+const CRASH_DOWNTIME_MS = 1500;
 const ANNOUNCEMENT_ATTEMPTS = 10;
 const ANNOUNCEMENT_RETRY_MS = 300;
 
@@ -44,6 +45,12 @@
 export class RunnerFleet {
   readonly slots: RunnerSlot[] = [];
 
+  /** Ids of the prompt parts that end runners. */
+  readonly deadlyParts = new Set<string>();
+
+  /** Monotonic times at which a prompt with a deadly part has ended a runner. */
+  readonly crashes: { parts: string; at: number }[] = [];
+
   private readonly lifetimes: RunnerLifetime[] = [];
 
   /** Number of requests of each lifetime that `takeRequests` has returned. */
@@ -51,6 +58,8 @@
 
   private startCount = 0;
 
+  private isStopped = false;
+
   constructor(
     private readonly controls: GatewayProcess[],
     private readonly random: Random,
@@ -83,6 +92,11 @@
       capacity: ENGINE_CAPACITY,
       announcedAddress: slot.relayAddress,
       host: OTHER_HOST,
+      deadlyParts: this.deadlyParts,
+      onCrash: (parts) => {
+        this.crashes.push({ parts, at: performance.now() });
+        this.restartAfterCrash(slot).catch(() => undefined);
+      },
     });
     const [host = '', port] = runner.address.split(':');
     slot.relay.retarget({ host, port: Number(port) });
@@ -143,10 +157,23 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopped = true;
     this.slots.forEach((slot) => slot.current?.runner.stop());
     await Promise.all(this.slots.map(({ relay }) => relay.stop()));
   }
 
+  /** Starts a runner again that a prompt has ended; meanwhile its address refuses connections. */
+  private async restartAfterCrash(slot: RunnerSlot): Promise<void> {
+    const { relay, relayAddress, current } = slot;
+    crashRunner(slot);
+    await relay.stop();
+    await sleep(CRASH_DOWNTIME_MS);
+    if (this.isStopped) return;
+    await relay.start(Number(relayAddress.split(':')[1]), OTHER_HOST);
+    // Another fault may have started one since.
+    if (slot.current === undefined || slot.current === current) await this.startRunner(slot);
+  }
+
   private createId(): string {
     this.startCount += 1;
     return `i-${this.startCount}`;
--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -12,6 +12,7 @@
 import { CORE, Disturbances } from './Disturbances.js';
 import { GatewayFaults } from './GatewayFaults.js';
 import { OperatorWorkload } from './OperatorWorkload.js';
+import { PoisonWorkload } from './PoisonWorkload.js';
 import { RequestChecks } from './RequestChecks.js';
 import type { PlannedSignal } from './RequestChecks.js';
 import { isReady, Rotation } from './Rotation.js';
@@ -35,6 +36,7 @@
 const CLIENTS_PER_ENTRY = 3;
 const DATA_CENTRES = ['a', 'b', 'c'];
 const SKIPPED_NUMBERS = 32;
+const POISON_SEED_OFFSET = 1_000_003;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -120,12 +122,21 @@
     const graceMs = this.graceSeconds * 1000;
     const startedAt = performance.now();
     const requests = new RequestChecks({ checks, disturbances, graceMs, signals, startedAt });
+    // Draws of its own, so that the other faults of a seed stay the same.
+    const poison = new PoisonWorkload({
+      random: new Random(this.options.seed + POISON_SEED_OFFSET),
+      checks,
+      disturbances,
+      requests,
+      runners,
+    });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
       checks: requests,
       pickEntry: () => rotation.pick(),
       getRelayAddress: (entry) => this.relayAddresses.get(entry) ?? '',
+      getSharedParts: () => poison.getSharedParts(),
     });
     const common = { random, checks, disturbances };
     const operators = new OperatorWorkload({ ...common, controls, entries, clients, startedAt });
@@ -153,6 +164,7 @@
       clients.run(this.options.clients ?? clientCount, isOver),
       operators.runReads(isOver),
       operators.runProbes(isOver),
+      poison.run(isOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
@@ -166,6 +178,7 @@
     requests.addRuns(runners.takeRequests());
     requests.finish();
     faults.finish();
+    poison.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
@@ -184,6 +197,7 @@
       servedShares: { underFaults, afterwards },
       acknowledgedConfigurations: operators.acknowledgedCount,
       longestHarnessPauseMs: Math.round(this.longestPauseMs),
+      runnersEndedByPrompts: runners.crashes.length,
       checks: checks.counts,
       violations: checks.violations,
     };
--- a/packages/fakes/src/soak/SoakClient.ts
+++ b/packages/fakes/src/soak/SoakClient.ts
@@ -16,6 +16,8 @@
   customer: { name: string; key: string };
   /** Number of prompt and output tokens; undefined for plain calls. */
   tokens?: { prompt: number; output: number };
+  /** Ids of the parts of the prompt; the last one belongs to the request. */
+  parts?: string[];
   /** Time after which the client leaves, in milliseconds. */
   leavesAfterMs?: number;
 }
@@ -42,6 +44,7 @@
   error: string;
 }
 
+const TOKENS_PER_PART = 40;
 /** Time past its deadline for which a client waits for the answer, in milliseconds. */
 const OVERDUE_MS = 1500;
 /** Message of Node.js for a connection that ended in an orderly way before the answer. */
@@ -132,7 +135,7 @@
   }
 
   private open(request: SoakRequest, address: string): ClientRequest {
-    const { tokens } = request;
+    const { tokens, parts } = request;
     const [host, port] = address.split(':');
     return sendRequest({
       host,
@@ -146,6 +149,7 @@
         'x-attempt-id': request.id,
         'x-deadline-ms': String(request.route.deadlineMs),
         ...(tokens && { 'x-model': 'm', 'x-token-usage': `${tokens.prompt},${tokens.output}` }),
+        ...(parts && { 'x-prefix-hash': formatParts(parts) }),
         'content-length': Buffer.byteLength(request.body),
       },
     });
@@ -160,6 +164,11 @@
   }
 }
 
+/** Formats the parts of a prompt as the header that lists them. */
+export function formatParts(parts: string[]): string {
+  return parts.map((part) => `${part}:${TOKENS_PER_PART}`).join(',');
+}
+
 function getErrorEnding(error: NodeJS.ErrnoException): SoakResult['ending'] {
   if (error.code === 'ECONNREFUSED') return 'unconnected';
   return error.code?.startsWith('HPE_') ? 'malformed' : 'cut';
