--- a/packages/gateway/src/entry/EntryProtocol.ts
+++ b/packages/gateway/src/entry/EntryProtocol.ts
@@ -64,6 +64,11 @@
   faultyUpstream: string | undefined;
   /** True if the response carries the upstream's signature. */
   isSigned: boolean;
+  /**
+   * Requests per second that the upstream accepts from all entry processes together, as long as its
+   * responses say so; undefined if there is no limit.
+   */
+  requestsPerSecond: number | undefined;
 }
 
 /** Adapter for the platform's protocols with clients, upstreams and the load balancer. */
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -46,6 +46,9 @@
   /** Longest time in ms between two received chunks with events; includes the gap of a retry. */
   longestPauseMs = 0;
 
+  /** Requests per second that the last upstream accepts from all entry processes together. */
+  upstreamLimit: number | undefined;
+
   private placementSummary: PlacementSummary | undefined;
 
   private previousEventAt = 0;
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -369,6 +369,7 @@
         status: context.exchange.response.statusCode,
         promptTokens: context.promptTokens,
         ...context.lastPlacement,
+        upstreamLimit: context.upstreamLimit,
         firstEventMs: roundMs(context.firstEventMs),
         observedMs: roundMs(context.observedMs),
         longestPauseMs: roundMs(context.longestPauseMs),
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -109,6 +109,7 @@
     const metadata = protocol.parseResponse(status, response.headers);
     const isForOtherRequest =
       context.clientAttemptId !== undefined && metadata.clientAttemptId !== context.clientAttemptId;
+    context.upstreamLimit = metadata.requestsPerSecond;
     // An upstream that did not execute the request may omit `clientAttemptId`.
     if (isForOtherRequest && (!metadata.isNotExecuted || metadata.clientAttemptId !== undefined)) {
       response.destroy();
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -57,6 +57,7 @@
     isNotExecuted: status === 421 || headers.unrun !== undefined,
     faultyUpstream: headers.faulty as string | undefined,
     isSigned: headers.signed !== undefined,
+    requestsPerSecond: headers.limit === undefined ? undefined : Number(headers.limit),
   }),
 };
 
