--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -95,6 +95,9 @@
 
   behaviour: RunnerBehaviour = 'normal';
 
+  /** Requests per second, named in each answer, that the runner accepts from all callers together. */
+  requestsPerSecond: number | undefined;
+
   private readonly server: Server;
 
   private readonly latencyModel: LatencyModel;
@@ -212,7 +215,7 @@
       if (request.headers['x-token-usage'] !== undefined)
         await this.runPrompt(request, response, record);
       else if (this.behaviour === 'full' || this.runningCount > capacity * 2)
-        reject(request, response, record);
+        this.reject(request, response, record);
       else await this.runCall(request, response, record);
     } finally {
       this.runningCount -= 1;
@@ -222,10 +225,30 @@
   private fail(request: IncomingMessage, response: ServerResponse, record: RecordedRequest): void {
     endRequest(record, 'failed');
     response
-      .writeHead(500, { ...getResponseHeaders(request), 'x-response-signature': this.options.id })
+      .writeHead(500, {
+        ...this.getResponseHeaders(request),
+        'x-response-signature': this.options.id,
+      })
       .end('failed');
   }
 
+  private reject(
+    request: IncomingMessage,
+    response: ServerResponse,
+    record: RecordedRequest,
+  ): void {
+    endRequest(record, 'rejected');
+    response.writeHead(503, { ...this.getResponseHeaders(request), 'x-not-executed': '1' }).end();
+  }
+
+  private getResponseHeaders(request: IncomingMessage) {
+    const { requestsPerSecond } = this;
+    return {
+      'x-attempt-id': request.headers['x-attempt-id'],
+      ...(requestsPerSecond === undefined ? {} : { 'server-limit': String(requestsPerSecond) }),
+    };
+  }
+
   /** Ends an answer as the simulated failure does; false if there is none. */
   private breakOff(request: IncomingMessage, record: RecordedRequest): boolean {
     const { socket } = request;
@@ -256,7 +279,7 @@
     const answer = getCallAnswer(String(request.headers['x-attempt-id']), record.body);
     if (this.behaviour === 'truncating') {
       response.writeHead(200, {
-        ...getResponseHeaders(request),
+        ...this.getResponseHeaders(request),
         'x-response-signature': this.options.id,
         'content-length': answer.length,
       });
@@ -264,7 +287,7 @@
     }
     if (this.breakOff(request, record)) return;
     response.writeHead(200, {
-      ...getResponseHeaders(request),
+      ...this.getResponseHeaders(request),
       'x-response-signature': this.options.id,
       'content-length': answer.length,
     });
@@ -288,7 +311,7 @@
     const reservedHelperCount = helpers.filter((helper) => helper.includes('/')).length;
     const ownTokens = tokens / (reservedHelperCount + 1);
     if (this.behaviour === 'full' || ownTokens > this.reservations.freeTokens)
-      reject(request, response, record);
+      this.reject(request, response, record);
     else if (this.behaviour === 'failing') this.fail(request, response, record);
     else {
       await this.prefill(tokens, helpers.length + 1);
@@ -338,7 +361,7 @@
     const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
     const halfCount = Math.ceil(eventCount / 2);
     response.writeHead(200, {
-      ...getResponseHeaders(request),
+      ...this.getResponseHeaders(request),
       'content-type': 'text/event-stream',
       'x-response-signature': id,
     });
@@ -364,15 +387,6 @@
   }
 }
 
-function reject(request: IncomingMessage, response: ServerResponse, record: RecordedRequest): void {
-  endRequest(record, 'rejected');
-  response.writeHead(503, { ...getResponseHeaders(request), 'x-not-executed': '1' }).end();
-}
-
-function getResponseHeaders(request: IncomingMessage) {
-  return { 'x-attempt-id': request.headers['x-attempt-id'] };
-}
-
 /** Records the end of a request unless it has ended before. */
 function endRequest(record: RecordedRequest, ending: RecordedRequest['ending']): void {
   if (record.ending !== 'running') return;
