Share out the limit of an upstream among all entry processes

Callers saw a runner that had named a limit get up to 18 requests in 4 s where 16 were allowed. Cause: the limit was passed on to the client and decided nothing; arrivals fell only by what the placement happened to do. Change: any answer names a limit, a complete one lifts it, and findings carry both to all processes with the lifetime of the upstream and the age of the observation. A scheduler counts its sends in sliding windows and leaves out engines whose limit is used up; for services without engines an entry process asks it for a permit, unless an upstream without a limit is as good. Permits go to the most urgent, then to the customer with the fewest; who can't be served in time is refused at once. A process that begins to decide assumes that its predecessor has used the limit up. Without a scheduler, all entry processes together use two fifths of it.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -473,7 +473,7 @@
       await sleep(MAINTENANCE_INTERVAL_MS);
       this.linkPool.retain([...this.seeds, ...this.getCluster().members]);
       this.table.removeExpired();
-      this.findings.removeExpired();
+      this.findings.removeExpired((id) => this.table.getUpstream(id) !== undefined);
       this.shareAnnouncedUpstreams();
       this.refreshUpstreams();
       const cluster = JSON.stringify(this.getCluster());
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -1,6 +1,6 @@
 import type { UpstreamTable } from '@azurecart/discovery';
-import { EngineScheduler } from '@azurecart/scheduling';
-import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
+import { EngineScheduler, PermitQueue, RateLimiter } from '@azurecart/scheduling';
+import type { EngineDecision, EngineJob, PermitRequest } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Configuration, Service } from '../configuration/index.js';
 import type { Findings } from '../findings/index.js';
@@ -8,6 +8,7 @@
 import { METHODS } from './messages.js';
 import type {
   PlacedJob,
+  PermittedSend,
   JobUpdate,
   ShortPromptEnginesUpdate,
   QueuedJobDecision,
@@ -28,6 +29,8 @@
   link: Link;
 }
 
+/** Milliseconds without a decision after which the limits of upstreams may be used by others. */
+const MAX_DECISION_GAP_MS = 500;
 /** Interval in milliseconds at which queued jobs are reconsidered. */
 const QUEUE_INTERVAL_MS = 20;
 /** Interval in milliseconds between notifications of the engines that serve short prompts. */
@@ -43,6 +46,12 @@
 
   private readonly jobs = new Map<string, TrackedJob>();
 
+  private readonly limiter: RateLimiter;
+
+  private readonly permitQueue: PermitQueue;
+
+  private decidedAt = -Infinity;
+
   private readonly timers: NodeJS.Timeout[];
 
   /** Links over which jobs were placed or reported. */
@@ -51,6 +60,10 @@
   private readonly attachedLinks = new WeakSet<Link>();
 
   constructor(private readonly options: PlacementServiceOptions) {
+    const now = (): number => performance.now();
+    const getLimit = (upstream: string) => options.findings.limits.getLimit(upstream);
+    this.limiter = new RateLimiter({ now, getLimit });
+    this.permitQueue = new PermitQueue({ now, limiter: this.limiter });
     this.timers = [
       setInterval(() => this.decideQueued(), QUEUE_INTERVAL_MS),
       setInterval(() => this.sendShortPromptEngines(), SHORT_PROMPT_ENGINES_INTERVAL_MS),
@@ -63,6 +76,10 @@
 
   addHandlers(handlers: Map<string, CallHandler>): void {
     handlers.set(METHODS.place, (body, link) => this.place(body as EngineJob, link));
+    handlers.set(METHODS.permit, (body) => {
+      this.recordDecision();
+      return this.permitQueue.request(body as PermitRequest);
+    });
   }
 
   /** Handles the job notifications on a link and releases its jobs when it is closed. */
@@ -73,6 +90,7 @@
       if (method === METHODS.adopt) this.handleAdopt(body as PlacedJob, link);
       else if (method === METHODS.progress) this.handleProgress((body as JobUpdate).id);
       else if (method === METHODS.release) this.release(body as JobUpdate);
+      else if (method === METHODS.sent) this.limiter.recordSend((body as PermittedSend).upstream);
     });
     link.closed.then(() => {
       this.entryLinks.delete(link);
@@ -85,6 +103,7 @@
     // Also thrown while there is no configuration, or none with an engine profile for the service.
     if (!scheduler) throw new Error(`no engines known for service ${job.service}`);
     this.attach(link);
+    this.recordDecision();
     scheduler.setEngines(this.options.table.getReady(job.service));
     const decision = scheduler.place(job);
     this.entryLinks.add(link);
@@ -93,12 +112,20 @@
     return decision;
   }
 
-  private handleAdopt({ job, upstream, helpers, isWriting }: PlacedJob, link: Link): void {
+  /** Called for each request to decide on; a process that was not asked for long is a new scheduler. */
+  private recordDecision(): void {
+    const now = performance.now();
+    if (now - this.decidedAt > MAX_DECISION_GAP_MS) this.limiter.assumeUsed();
+    this.decidedAt = now;
+  }
+
+  private handleAdopt(placedJob: PlacedJob, link: Link): void {
+    const { job, upstream, helpers, isWriting, ageMs } = placedJob;
     const scheduler = this.getScheduler(job.service);
     if (!scheduler || this.jobs.has(job.id)) return;
     scheduler.setEngines(this.options.table.getReady(job.service));
     this.entryLinks.add(link);
-    scheduler.adopt(job, upstream, helpers, isWriting);
+    scheduler.adopt(job, upstream, helpers, isWriting, ageMs);
     this.jobs.set(job.id, { job, scheduler, link });
   }
 
@@ -130,6 +157,7 @@
       now: () => performance.now(),
       onDecided: (id, decision) => this.sendDecision(id, decision),
       poison: this.options.findings.poison,
+      limiter: this.limiter,
     });
     this.schedulers.set(service, scheduler);
     return scheduler;
@@ -147,12 +175,14 @@
   }
 
   private decideQueued(): void {
+    this.permitQueue.decide();
     for (const scheduler of this.schedulers.values()) {
       if (scheduler.queueLength > 0) scheduler.decideQueued();
     }
   }
 
   private sendShortPromptEngines(): void {
+    this.limiter.removeExpired();
     for (const [service, scheduler] of this.schedulers) {
       const notification: ShortPromptEnginesUpdate = {
         service,
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -21,6 +21,8 @@
   release: 'release',
   lightEngines: 'lightEngines',
   findings: 'findings',
+  permit: 'permit',
+  sent: 'sent',
 } as const;
 
 /** Response of a control process to one that is looking for its cluster. */
@@ -97,6 +99,13 @@
   helpers: EngineHelper[];
   /** True once the first event has arrived, so that the engine is decoding. */
   isWriting: boolean;
+  /** Milliseconds since the job was placed. */
+  ageMs?: number;
+}
+
+/** Reports a request that was sent to an upstream with the permit of another scheduler. */
+export interface PermittedSend {
+  upstream: string;
 }
 
 /** Engines that serve short prompts, for entry processes that place jobs without a scheduler. */
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -12,6 +12,7 @@
 import { EntryMetrics } from './EntryMetrics.js';
 import { Exchange } from './Exchange.js';
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
+import { PermitClient } from './PermitClient.js';
 import { ProcessLifetime } from './ProcessLifetime.js';
 import { RequestHandler } from './RequestHandler.js';
 import { ScheduledPlacer } from './ScheduledPlacer.js';
@@ -130,20 +131,23 @@
   private createPlacer(): ScheduledPlacer {
     const { view, health, controlLinks, startupGate } = this;
     const { dataCentre } = this.options.settings;
+    const { logger } = this.options;
     const shortPromptEngines = new ShortPromptEngines(view);
+    const schedulers = new SchedulerSelector({ view, linkPool: controlLinks.linkPool });
     return new ScheduledPlacer({
       view,
-      schedulers: new SchedulerSelector({ view, linkPool: controlLinks.linkPool }),
+      schedulers,
       shortPromptEngines,
       fallback: new LeastLoadedPlacer({
         view,
         health,
         shortPromptEngines,
         startupGate,
+        permits: new PermitClient({ view, schedulers, logger }),
         dataCentre,
       }),
       dataCentre,
-      logger: this.options.logger,
+      logger,
     });
   }
 
@@ -211,7 +215,8 @@
 
   private expireUpstreams(): void {
     this.view.upstreamTable.removeExpired();
-    this.view.findings.removeExpired();
-    this.health.retain((id) => this.view.upstreamTable.getUpstream(id) !== undefined);
+    const isKnown = (id: string) => this.view.upstreamTable.getUpstream(id) !== undefined;
+    this.view.findings.removeExpired(isKnown);
+    this.health.retain(isKnown);
   }
 }
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
+import type { PermitClient } from './PermitClient.js';
 import type { ShortPromptEngines } from './ShortPromptEngines.js';
 import type { Placement, PlacementRequest, Placer, PlacementHandle } from './Placement.js';
 import type { StartupGate } from './StartupGate.js';
@@ -12,6 +13,8 @@
   shortPromptEngines: ShortPromptEngines;
   /** Lets requests wait right after the start, while the upstreams are not known yet. */
   startupGate: StartupGate;
+  /** Gets leave to send requests to upstreams with a limit. */
+  permits: PermitClient;
   dataCentre: string;
   /** Random numbers from 0 to 1, which spread requests over equally loaded upstreams. */
   random?: () => number;
@@ -36,10 +39,14 @@
   constructor(private readonly options: LeastLoadedPlacerOptions) {}
 
   async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
-    const { startupGate } = this.options;
-    const upstream = await startupGate.wait(() => this.choose(request), signal);
-    if (upstream) return { kind: 'placed', upstream, helpers: [] };
-    return { kind: 'refused', reason: 'no upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS };
+    const { startupGate, permits } = this.options;
+    const ranked = await startupGate.wait(() => this.rank(request), signal);
+    const best = ranked?.[0];
+    if (!ranked || !best)
+      return { kind: 'refused', reason: 'no upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS };
+    const unlimitedAt = ranked.findIndex(({ id }) => !permits.isLimited(id));
+    if (unlimitedAt === 0) return { kind: 'placed', upstream: best, helpers: [] };
+    return this.placeWithPermit(request, ranked, ranked[unlimitedAt], signal);
   }
 
   track(_request: PlacementRequest, upstream: UpstreamRecord): PlacementHandle {
@@ -48,16 +55,47 @@
     return { reportProgress: () => undefined, release: () => health.recordFinish(upstream.id) };
   }
 
-  private choose(request: PlacementRequest): UpstreamRecord | undefined {
+  /**
+   * Places a request on an upstream with a limit that is preferred to the one without, if there is
+   * a permit. It waits for one only if all upstreams have a limit.
+   */
+  private async placeWithPermit(
+    request: PlacementRequest,
+    ranked: UpstreamRecord[],
+    unlimited: UpstreamRecord | undefined,
+    signal: AbortSignal,
+  ): Promise<Placement> {
+    const limited = unlimited ? ranked.slice(0, ranked.indexOf(unlimited)) : ranked;
+    const permit = await this.options.permits.acquire(
+      {
+        upstreams: limited.map(({ id }) => id),
+        priority: request.priority,
+        customer: request.customer,
+        waitMs: unlimited ? 0 : Math.max(0, request.remainingMs - request.route.objectiveMs),
+      },
+      signal,
+    );
+    const granted =
+      permit.kind === 'granted' ? limited.find(({ id }) => id === permit.upstream) : undefined;
+    const upstream = granted ?? unlimited;
+    if (upstream) return { kind: 'placed', upstream, helpers: [] };
+    const retryAfterMs =
+      permit.kind === 'refused' ? permit.retryAfterMs : NO_UPSTREAM_RETRY_AFTER_MS;
+    return { kind: 'refused', reason: 'limits of the upstreams', retryAfterMs };
+  }
+
+  /** Gets the upstreams in the order of their costs; undefined if there are none. */
+  private rank(request: PlacementRequest): UpstreamRecord[] | undefined {
     const { view, health } = this.options;
     const ready = view.upstreamTable.getReady(request.service);
     const untried = ready.filter(({ id }) => !request.excluded.has(id));
     const healthy = untried.filter(({ id }) => !health.isAvoided(id));
     const candidates = healthy.length > 0 ? healthy : untried;
-    const [best] = candidates
+    if (candidates.length === 0) return undefined;
+    return candidates
       .map((upstream) => ({ upstream, cost: this.getCost(request, upstream) }))
-      .sort((a, b) => a.cost - b.cost);
-    return best?.upstream;
+      .sort((a, b) => a.cost - b.cost)
+      .map(({ upstream }) => upstream);
   }
 
   private getCost(request: PlacementRequest, upstream: UpstreamRecord): number {
--- /dev/null
+++ b/packages/gateway/src/entry/PermitClient.ts
@@ -0,0 +1,116 @@
+import type { Permit, PermitRequest } from '@azurecart/scheduling';
+import type { Logger } from '@azurecart/telemetry';
+import { METHODS } from '../control/messages.js';
+import type { PermittedSend } from '../control/messages.js';
+import type { ClusterView } from './ClusterView.js';
+import type { SchedulerSelector } from './SchedulerSelector.js';
+
+/** Options of a {@link PermitClient}. */
+export interface PermitClientOptions {
+  view: ClusterView;
+  schedulers: SchedulerSelector;
+  logger: Logger;
+  /** Gets the monotonic time in milliseconds. */
+  now?: () => number;
+}
+
+interface OwnShare {
+  permits: number;
+  updatedAt: number;
+}
+
+/** Milliseconds beyond the wait of a request for which a scheduler is waited for. */
+const ANSWER_TIMEOUT_MS = 150;
+/**
+ * Share of a limit that all entry processes together may use while no scheduler answers them. What
+ * a scheduler granted just before counts in the same time.
+ */
+const UNSCHEDULED_SHARE = 0.4;
+/** Delay in milliseconds before a client may retry if no scheduler has decided. */
+const NO_SCHEDULER_RETRY_AFTER_MS = 500;
+const MS_PER_SECOND = 1000;
+const REFUSED: Permit = { kind: 'refused', retryAfterMs: NO_SCHEDULER_RETRY_AFTER_MS };
+
+/**
+ * Gets leave from a scheduler to send requests to upstreams with a limit, as the limit holds for all
+ * entry processes together. Without a scheduler, this process uses its part of a share of the limit,
+ * which it starts to save up when the scheduler is lost.
+ */
+export class PermitClient {
+  private readonly ownShares = new Map<string, OwnShare>();
+
+  private readonly now: () => number;
+
+  constructor(private readonly options: PermitClientOptions) {
+    this.now = options.now ?? (() => performance.now());
+  }
+
+  isLimited(upstream: string): boolean {
+    return this.options.view.findings.limits.getLimit(upstream) !== undefined;
+  }
+
+  /**
+   * Asks the schedulers in turn; the upstreams are given in the order of preference.
+   * @param signal - Ends the wait; a permit that comes later is not used.
+   */
+  async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
+    if (signal.aborted) return REFUSED;
+    let stopWaiting: () => void = () => undefined;
+    const aborted = new Promise<Permit>((resolve) => {
+      stopWaiting = () => resolve(REFUSED);
+      signal.addEventListener('abort', stopWaiting, { once: true });
+    });
+    try {
+      return await Promise.race([this.ask(request), aborted]);
+    } finally {
+      signal.removeEventListener('abort', stopWaiting);
+    }
+  }
+
+  private async ask(request: PermitRequest): Promise<Permit> {
+    const { schedulers, logger } = this.options;
+    const links = schedulers.getLinks();
+    for (const link of links.filter((each) => !schedulers.isPaused(each))) {
+      try {
+        const timeoutMs = request.waitMs + ANSWER_TIMEOUT_MS;
+        const permit = (await link.call(METHODS.permit, request, timeoutMs)) as Permit;
+        this.ownShares.clear();
+        if (permit.kind === 'granted') {
+          const sent: PermittedSend = { upstream: permit.upstream };
+          links
+            .filter((other) => other !== link)
+            .forEach((other) => other.notify(METHODS.sent, sent));
+        }
+        return permit;
+      } catch (error) {
+        schedulers.pause(link);
+        logger.info({ err: error }, 'no permit from a scheduler');
+      }
+    }
+    return this.takeOwnShare(request.upstreams);
+  }
+
+  private takeOwnShare(upstreams: string[]): Permit {
+    const shares = upstreams.map((upstream) => ({ upstream, share: this.accrue(upstream) }));
+    const found = shares.find(({ share }) => share.permits >= 1);
+    if (!found) return REFUSED;
+    found.share.permits -= 1;
+    return { kind: 'granted', upstream: found.upstream };
+  }
+
+  private accrue(upstream: string): OwnShare {
+    const { view } = this.options;
+    const now = this.now();
+    const share = this.ownShares.get(upstream) ?? { permits: 0, updatedAt: now };
+    const perSecond =
+      ((view.findings.limits.getLimit(upstream) ?? 0) * UNSCHEDULED_SHARE) /
+      Math.max(1, view.cluster.value.entries);
+    share.permits = Math.min(
+      1,
+      share.permits + (perSecond * (now - share.updatedAt)) / MS_PER_SECOND,
+    );
+    share.updatedAt = now;
+    this.ownShares.set(upstream, share);
+    return share;
+  }
+}
--- a/packages/gateway/src/entry/PlacedJobs.ts
+++ b/packages/gateway/src/entry/PlacedJobs.ts
@@ -5,7 +5,7 @@
 
 /** Registry of the jobs that this process has placed; reports their state to its schedulers. */
 export class PlacedJobs {
-  private readonly jobs = new Map<string, PlacedJob>();
+  private readonly jobs = new Map<string, PlacedJob & { placedAt: number }>();
 
   private schedulers: Link[] = [];
 
@@ -14,15 +14,16 @@
     const added = schedulers.filter((link) => !this.schedulers.includes(link));
     const removed = this.schedulers.filter((link) => !schedulers.includes(link));
     this.schedulers = schedulers;
-    for (const placedJob of this.jobs.values()) {
-      added.forEach((link) => link.notify(METHODS.adopt, placedJob));
+    for (const { placedAt, ...placedJob } of this.jobs.values()) {
+      const ageMs = performance.now() - placedAt;
+      added.forEach((link) => link.notify(METHODS.adopt, { ...placedJob, ageMs }));
       removed.forEach((link) => notifyRelease(link, { id: placedJob.job.id }));
     }
   }
 
   /** Adds a job and notifies all schedulers except the one that placed it. */
   register(placedJob: PlacedJob, decidedBy?: Link): void {
-    this.jobs.set(placedJob.job.id, placedJob);
+    this.jobs.set(placedJob.job.id, { ...placedJob, placedAt: performance.now() });
     for (const link of this.schedulers)
       if (link !== decidedBy) link.notify(METHODS.adopt, placedJob);
   }
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -204,7 +204,7 @@
   }
 
   private async runAttempt(context: RequestContext): Promise<AttemptOutcome> {
-    const { placer, protocol, health, agent } = this.options;
+    const { placer, protocol, health, findings, agent } = this.options;
     const request = context.getPlacementRequest();
     const placement = await placer.place(request, context.signal);
     if (placement.kind === 'refused') return placement;
@@ -242,6 +242,7 @@
       const attemptOptions = {
         protocol,
         health,
+        findings,
         agent,
         context,
         upstream,
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { UpstreamRecord } from '@azurecart/discovery';
+import type { Findings } from '../findings/index.js';
 import {
   ResponseCompletion,
   EventStreamSplitter,
@@ -15,11 +16,12 @@
 import { StallTimer } from './StallTimer.js';
 import { readBufferedBody, sendBufferedResponse } from './bufferedResponse.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
-import type { PrefillHelper, EntryProtocol } from './EntryProtocol.js';
+import type { PrefillHelper, EntryProtocol, ResponseMetadata } from './EntryProtocol.js';
 
 export interface UpstreamAttemptOptions {
   protocol: EntryProtocol;
   health: UpstreamHealth;
+  findings: Findings;
   agent: UpstreamAgent;
   context: RequestContext;
   upstream: UpstreamRecord;
@@ -109,7 +111,7 @@
     const metadata = protocol.parseResponse(status, response.headers);
     const isForOtherRequest =
       context.clientAttemptId !== undefined && metadata.clientAttemptId !== context.clientAttemptId;
-    context.upstreamLimit = metadata.requestsPerSecond;
+    this.recordLimit(metadata);
     // An upstream that did not execute the request may omit `clientAttemptId`.
     if (isForOtherRequest && (!metadata.isNotExecuted || metadata.clientAttemptId !== undefined)) {
       response.destroy();
@@ -137,6 +139,20 @@
     return this.relayBuffered(response, call);
   }
 
+  /**
+   * Records the limit that a response names. Only the answer to an executed request lifts one, as
+   * another upstream may have rejected the request, or one that rejects it may not name its limit.
+   */
+  private recordLimit(metadata: ResponseMetadata): void {
+    const { findings, context, upstream } = this.options;
+    const { requestsPerSecond, isSigned, clientAttemptId } = metadata;
+    const isForOtherRequest =
+      clientAttemptId !== undefined && clientAttemptId !== context.clientAttemptId;
+    if (isForOtherRequest || (requestsPerSecond === undefined && !isSigned)) return;
+    context.upstreamLimit = requestsPerSecond;
+    findings.recordLimit(upstream.id, upstream.bornAt, requestsPerSecond);
+  }
+
   private async relayBuffered(
     response: IncomingMessage,
     call: UpstreamCall,
--- a/packages/gateway/src/findings/Findings.ts
+++ b/packages/gateway/src/findings/Findings.ts
@@ -1,12 +1,14 @@
 import { Subject } from 'rxjs';
-import { PoisonTable } from '@azurecart/scheduling';
-import type { PartEvidence } from '@azurecart/scheduling';
+import { PoisonTable, RateLimitTable } from '@azurecart/scheduling';
+import type { PartEvidence, RateLimit } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 
 /** What processes tell each other of their findings. */
 export interface FindingsUpdate {
   /** Evidence about prompt parts that may end engines. */
   parts: PartEvidence[];
+  /** Limits that upstreams have named or lifted. */
+  limits: RateLimit[];
 }
 
 /** Options of {@link Findings}. */
@@ -24,6 +26,8 @@
 export class Findings {
   readonly poison: PoisonTable;
 
+  readonly limits: RateLimitTable;
+
   private readonly changeSubject = new Subject<FindingsUpdate>();
 
   /** Findings of this process itself, which are to be sent to others. */
@@ -31,6 +35,7 @@
 
   constructor(private readonly options: FindingsOptions) {
     this.poison = new PoisonTable(options);
+    this.limits = new RateLimitTable(options);
   }
 
   /** Records that a prompt has had its first event. */
@@ -46,31 +51,55 @@
     this.publish(this.poison.recordCrash(engine, parts, sentAt));
   }
 
+  /**
+   * Records the limit that a response names.
+   * @param requestsPerSecond - Undefined if it names none.
+   */
+  recordLimit(upstream: string, bornAt: number, requestsPerSecond: number | undefined): void {
+    if (!this.limits.record(upstream, bornAt, requestsPerSecond)) return;
+    this.logLimits([upstream]);
+    this.changeSubject.next({ parts: [], limits: this.limits.getLimits([upstream]) });
+  }
+
   /**
    * Merges findings of another process.
    * @returns What was new; undefined if nothing was.
    */
-  merge({ parts }: FindingsUpdate): FindingsUpdate | undefined {
-    const changed = this.poison.merge(parts);
-    this.log(changed);
-    return changed.length > 0 ? { parts: this.poison.getEvidence(changed) } : undefined;
+  merge({ parts, limits }: FindingsUpdate): FindingsUpdate | undefined {
+    const changedParts = this.poison.merge(parts);
+    const changedLimits = this.limits.merge(limits);
+    if (changedParts.length === 0 && changedLimits.length === 0) return undefined;
+    this.logParts(changedParts);
+    this.logLimits(changedLimits);
+    return {
+      parts: this.poison.getEvidence(changedParts),
+      limits: this.limits.getLimits(changedLimits),
+    };
   }
 
   getAll(): FindingsUpdate {
-    return { parts: this.poison.getEvidence() };
+    return { parts: this.poison.getEvidence(), limits: this.limits.getLimits() };
   }
 
-  removeExpired(): void {
+  /** Removes what is too old to count, and the limits of upstreams that are no longer known. */
+  removeExpired(isKnown: (upstream: string) => boolean): void {
     this.poison.removeExpired();
+    this.limits.removeExpired(isKnown);
   }
 
   private publish(parts: string[]): void {
     if (parts.length === 0) return;
-    this.log(parts);
-    this.changeSubject.next({ parts: this.poison.getEvidence(parts) });
+    this.logParts(parts);
+    this.changeSubject.next({ parts: this.poison.getEvidence(parts), limits: [] });
+  }
+
+  private logLimits(upstreams: string[]): void {
+    this.limits
+      .getLimits(upstreams)
+      .forEach((limit) => this.options.logger.info(limit, 'limit of an upstream'));
   }
 
-  private log(parts: string[]): void {
+  private logParts(parts: string[]): void {
     for (const part of parts) {
       const [evidence] = this.poison.getEvidence([part]);
       const verdict = this.poison.judge([part]);
--- a/packages/gateway/src/findings/FindingsFile.ts
+++ b/packages/gateway/src/findings/FindingsFile.ts
@@ -56,7 +56,7 @@
         })),
         answeredAgeMs: answeredAgeMs === undefined ? undefined : answeredAgeMs + downMs,
       }));
-      findings.merge({ parts: evidence });
+      findings.merge({ parts: evidence, limits: [] });
     } catch (error) {
       logger.warn({ err: error }, 'stored findings could not be read, ignored');
     }
--- /dev/null
+++ b/packages/gateway/tests/entry/PermitClient.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Permit } from '@azurecart/scheduling';
+import { LinkPool } from '../../src/control/LinkPool.js';
+import { METHODS } from '../../src/control/messages.js';
+import { ClusterView } from '../../src/entry/ClusterView.js';
+import { PermitClient } from '../../src/entry/PermitClient.js';
+import { SchedulerSelector } from '../../src/entry/SchedulerSelector.js';
+import { LinkServer } from '../../src/links/index.js';
+import type { CallHandler, Link } from '../../src/links/index.js';
+import { getFreePort, silentLogger, versionCodec } from '../control/ControlCluster.js';
+
+const ENTRIES = 8;
+const LIMIT = 4;
+const REQUEST = { upstreams: ['u'], priority: 0, waitMs: 0 };
+const NEVER = new AbortController().signal;
+
+/** Starts a client with two schedulers, whose permits are given by `respond`. */
+async function startClient(respond: () => unknown) {
+  const received: string[][] = [];
+  const servers: LinkServer[] = [];
+  const members: string[] = [];
+  for (let index = 0; index < 2; index += 1) {
+    const port = await getFreePort();
+    const messages: string[] = [];
+    const handlers = new Map<string, CallHandler>([
+      [
+        METHODS.permit,
+        () => {
+          messages.push(METHODS.permit);
+          return respond();
+        },
+      ],
+    ]);
+    const onLink = (link: Link): void => {
+      link.notifications.subscribe(({ method }) => messages.push(method));
+    };
+    const server = new LinkServer({ host: '127.0.0.1', port, handlers, onLink });
+    await server.start();
+    servers.push(server);
+    received.push(messages);
+    members.push(`127.0.0.1:${port}`);
+  }
+  const clock = { now: 0 };
+  const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
+  view.findings.recordLimit('u', 1, LIMIT);
+  view.updateCluster({ members, leader: members[0] ?? null, term: 1, entries: ENTRIES });
+  const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
+  linkPool.retain(members);
+  while (members.some((address) => !linkPool.getLink(address).current)) await sleep(5);
+  const schedulers = new SchedulerSelector({ view, linkPool });
+  const permits = new PermitClient({
+    view,
+    schedulers,
+    logger: silentLogger,
+    now: () => clock.now,
+  });
+  const stop = (): void => {
+    linkPool.stop();
+    servers.forEach((server) => server.stop());
+  };
+  return { permits, received, clock, stop };
+}
+
+test('the leader grants, and the standby learns of it', async () => {
+  const { permits, received, stop } = await startClient(() => ({ kind: 'granted', upstream: 'u' }));
+  try {
+    assert.equal((await permits.acquire(REQUEST, NEVER)).kind, 'granted');
+    await sleep(50);
+    assert.deepEqual(received, [[METHODS.permit], [METHODS.sent]]);
+  } finally {
+    stop();
+  }
+});
+
+test('a refusal of the scheduler is final', async () => {
+  const refusal: Permit = { kind: 'refused', retryAfterMs: 700 };
+  const { permits, received, stop } = await startClient(() => refusal);
+  try {
+    assert.deepEqual(await permits.acquire(REQUEST, NEVER), refusal);
+    assert.deepEqual(received, [[METHODS.permit], []]);
+  } finally {
+    stop();
+  }
+});
+
+// Guards against entry processes that each use the whole limit while no scheduler answers.
+test('without a scheduler a process uses only its part of a share of the limit', async () => {
+  const { permits, clock, stop } = await startClient(() => {
+    throw new Error('not leading');
+  });
+  try {
+    let granted = 0;
+    for (; clock.now < 40_000; clock.now += 100)
+      granted += Number((await permits.acquire(REQUEST, NEVER)).kind === 'granted');
+    const part = (LIMIT * 40) / ENTRIES;
+    assert.ok(granted >= 0.3 * part && granted <= 0.5 * part, `${granted} of ${part}`);
+  } finally {
+    stop();
+  }
+});
+
+test('a request that is aborted does not wait for its permit', async () => {
+  const { permits, stop } = await startClient(() => sleep(5000));
+  try {
+    const controller = new AbortController();
+    setTimeout(() => controller.abort(), 50);
+    const startedAt = performance.now();
+    const patient = { ...REQUEST, waitMs: 4000 };
+    assert.equal((await permits.acquire(patient, controller.signal)).kind, 'refused');
+    assert.ok(performance.now() - startedAt < 1000);
+  } finally {
+    stop();
+  }
+});
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -6,6 +6,7 @@
 import { METHODS } from '../../src/control/messages.js';
 import { ShortPromptEngines } from '../../src/entry/ShortPromptEngines.js';
 import { LeastLoadedPlacer } from '../../src/entry/LeastLoadedPlacer.js';
+import { PermitClient } from '../../src/entry/PermitClient.js';
 import type { PlacementRequest } from '../../src/entry/Placement.js';
 import { ScheduledPlacer } from '../../src/entry/ScheduledPlacer.js';
 import { SchedulerSelector } from '../../src/entry/SchedulerSelector.js';
@@ -109,8 +110,10 @@
   linkPool.retain(members);
   while (members.some((address) => !linkPool.getLink(address).current)) await sleep(5);
   const shortPromptEngines = new ShortPromptEngines(view);
+  const selector = new SchedulerSelector({ view, linkPool });
   const fallback = new LeastLoadedPlacer({
     view,
+    permits: new PermitClient({ view, schedulers: selector, logger: silentLogger }),
     health: new UpstreamHealth(),
     shortPromptEngines,
     startupGate: new StartupGate({ windowMs: 0 }),
@@ -118,7 +121,7 @@
   });
   const placer = new ScheduledPlacer({
     view,
-    schedulers: new SchedulerSelector({ view, linkPool }),
+    schedulers: selector,
     shortPromptEngines,
     fallback,
     dataCentre: 'd',
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -1,15 +1,18 @@
 import { createServer, request as openRequest } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Registry } from 'prom-client';
+import { LinkPool } from '../../src/control/LinkPool.js';
 import { RoutingTable } from '../../src/configuration/index.js';
 import type { Route } from '../../src/configuration/index.js';
 import { ShortPromptEngines } from '../../src/entry/ShortPromptEngines.js';
 import { EntryMetrics } from '../../src/entry/EntryMetrics.js';
 import { Exchange } from '../../src/entry/Exchange.js';
 import { LeastLoadedPlacer } from '../../src/entry/LeastLoadedPlacer.js';
+import { PermitClient } from '../../src/entry/PermitClient.js';
 import { ProcessLifetime } from '../../src/entry/ProcessLifetime.js';
 import { RequestHandler } from '../../src/entry/RequestHandler.js';
 import { RetryBudgetShare } from '../../src/entry/RetryBudgetShare.js';
+import { SchedulerSelector } from '../../src/entry/SchedulerSelector.js';
 import { StartupGate } from '../../src/entry/StartupGate.js';
 import { UpstreamHealth } from '../../src/entry/UpstreamHealth.js';
 import { ClusterView } from '../../src/entry/ClusterView.js';
@@ -124,6 +127,7 @@
     health,
     shortPromptEngines: new ShortPromptEngines(view),
     startupGate: new StartupGate({ windowMs: 0 }),
+    permits: createPermitClient(view),
     dataCentre: 'near',
     random: () => 0,
   });
@@ -158,6 +162,13 @@
   };
 }
 
+/** Creates a client without schedulers. */
+function createPermitClient(view: ClusterView): PermitClient {
+  const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
+  const schedulers = new SchedulerSelector({ view, linkPool });
+  return new PermitClient({ view, schedulers, logger: silentLogger });
+}
+
 /** Lets the last upstream hold a part of each prompt that another one serves. */
 function addHelper(placer: Placer, view: ClusterView, heldTokens: number): Placer {
   return {
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -1,3 +1,4 @@
+import { RateLimiter } from '../limits/index.js';
 import { MAX_QUARANTINE_RETRY_MS, PoisonTable } from '../poison/index.js';
 import {
   chooseForLongPrompt,
@@ -27,6 +28,8 @@
   onDecided: (id: string, decision: EngineDecision) => void;
   /** Evidence about prompt parts that end engines; without it, none is known. */
   poison?: PoisonTable;
+  /** Limits that engines have named; without it, they have none. */
+  limiter?: RateLimiter;
 }
 
 interface QueuedJob {
@@ -46,6 +49,17 @@
 /** Share of its objective for which a queued multi-engine prompt holds back later long prompts. */
 const HOLD_BACK_SHARE = 0.5;
 
+const MS_PER_SECOND = 1000;
+/**
+ * Wait for the limits of engines, in terms of a job's objective, above which the job is refused: it
+ * would be late anyway, and take the turn of another that is not.
+ */
+const LIMIT_PATIENCE = 4;
+/** Time in milliseconds over which the rate of placements is measured. */
+const RATE_WINDOW_MS = 4000;
+/** Share of the limits of all engines that a job can count on beside more urgent ones. */
+const MIN_OWN_SHARE = 0.1;
+
 const QUEUED: EngineDecision = { kind: 'queued' };
 
 /**
@@ -64,12 +78,19 @@
 
   private readonly poison: PoisonTable;
 
+  private readonly limiter: RateLimiter;
+
   private queue: QueuedJob[] = [];
 
+  /** Jobs placed within `RATE_WINDOW_MS` while all engines had a limit. */
+  private recentPlacements: { at: number; priority: number }[] = [];
+
   private model: LatencyModel;
 
   constructor(private readonly options: EngineSchedulerOptions) {
     this.model = new LatencyModel(options.profile);
+    this.limiter =
+      options.limiter ?? new RateLimiter({ now: options.now, getLimit: () => undefined });
     this.poison = options.poison ?? new PoisonTable({ now: options.now });
   }
 
@@ -95,17 +116,28 @@
   place(job: EngineJob): EngineDecision {
     const now = this.options.now();
     const arrivedAt = now - job.waitedMs;
-    const decision = this.mustWaitForMultiEngineJob(job, arrivedAt, now)
-      ? QUEUED
-      : this.decide(job, job.waitedMs, now + job.remainingMs, now);
+    const decision =
+      this.mustWaitForMultiEngineJob(job, arrivedAt, now) || this.mustWaitForLimits(job)
+        ? QUEUED
+        : this.decide(job, job.waitedMs, now + job.remainingMs, now);
     if (decision.kind !== 'queued') return decision;
     this.queue.push({ job, arrivedAt, deadlineAt: now + job.remainingMs });
     return decision;
   }
 
-  /** Adds a running job that another scheduler or the entry process placed. */
-  adopt(job: EngineJob, engine: string, helpers: EngineHelper[], isDecoding: boolean): void {
+  /**
+   * Adds a running job that another scheduler or the entry process placed.
+   * @param ageMs - Milliseconds since then.
+   */
+  adopt(
+    job: EngineJob,
+    engine: string,
+    helpers: EngineHelper[],
+    isDecoding: boolean,
+    ageMs = 0,
+  ): void {
     const now = this.options.now();
+    this.limiter.recordSend(engine, ageMs);
     const prefillMs = this.model.getPrefillMs(job.promptTokens) / (helpers.length + 1);
     const heldByHelpers = helpers.reduce((sum, { heldTokens }) => sum + heldTokens, 0);
     const heldTokens = job.promptTokens - heldByHelpers;
@@ -219,6 +251,13 @@
       return this.refuse('the time left is too short');
     if (isLong && this.isOverloaded(prefillMs, remainingMs, now))
       return this.refuse('engines are busy');
+    const limitWaitMs = this.getLimitWaitMs(job);
+    const patienceMs = Math.min(
+      remainingMs - MIN_DECODE_MS,
+      job.objectiveMs * LIMIT_PATIENCE - waitedMs,
+    );
+    if (limitWaitMs > 0 && limitWaitMs + prefillMs > patienceMs)
+      return this.refuse('the limits of the engines leave too little', limitWaitMs);
     return { kind: 'queued' };
   }
 
@@ -295,6 +334,7 @@
       (load) =>
         !load.isFull &&
         !this.trials.hasEngine(load.engine.id) &&
+        this.limiter.getWaitMs(load.engine.id) === 0 &&
         load.heldTokens + heldTokens <= maxHeldTokens,
     );
   }
@@ -329,6 +369,8 @@
     const expectedMs = Math.max(...engines.map((each) => each.getFirstEventMs(partMs, now)));
     load.add(job, { prefillMs: partMs, heldTokens }, now);
     this.health.recordJob(load.engine.id, job.id);
+    this.limiter.recordSend(load.engine.id);
+    if (this.totalLimit < Infinity) this.recentPlacements.push({ at: now, priority: job.priority });
     if (suspectParts.length > 0) this.trials.start(job.id, load.engine.id, suspectParts);
     const helperJob = { ...job, id: getHelperJobId(job.id) };
     helpers.forEach((helper) =>
@@ -349,10 +391,55 @@
     };
   }
 
-  private refuse(reason: string): EngineDecision {
+  /**
+   * Returns true when a new job must wait for queued ones of the same or a higher priority, because
+   * all engines have a limit. Otherwise it would take the turn of one that waits for it.
+   */
+  private mustWaitForLimits(job: EngineJob): boolean {
+    const isAhead = this.queue.some((other) => other.job.priority <= job.priority);
+    return isAhead && this.totalLimit < Infinity && this.getLimitWaitMs(job) < job.remainingMs;
+  }
+
+  /** Requests per second that all engines together accept; infinite if one has no limit. */
+  private get totalLimit(): number {
+    if (this.loads.size === 0) return Infinity;
+    return [...this.loads.keys()].reduce(
+      (sum, id) => sum + (this.limiter.getLimit(id) ?? Infinity),
+      0,
+    );
+  }
+
+  /**
+   * Estimates the milliseconds until engines that all have a limit accept a job and the queued ones
+   * before it; 0 if one has none. As in `isOverloaded`, a new job counts the whole queue.
+   */
+  private getLimitWaitMs(job: EngineJob): number {
+    const { totalLimit: perSecond } = this;
+    if (perSecond === Infinity) return 0;
+    const ids = [...this.loads.keys()];
+    const ahead = this.queue.filter((other) => other.job.priority <= job.priority).length;
+    const nextMs = Math.min(...ids.map((id) => this.limiter.getWaitMs(id)));
+    // More urgent jobs that arrive meanwhile go first.
+    const ownShare = Math.max(
+      perSecond - this.getUrgentRate(job.priority),
+      perSecond * MIN_OWN_SHARE,
+    );
+    return nextMs + (ahead / ownShare) * MS_PER_SECOND;
+  }
+
+  /** Gets the rate per second at which more urgent jobs were placed lately. */
+  private getUrgentRate(priority: number): number {
+    const now = this.options.now();
+    this.recentPlacements = this.recentPlacements.filter(({ at }) => at > now - RATE_WINDOW_MS);
+    const urgent = this.recentPlacements.filter((placement) => placement.priority < priority);
+    return (urgent.length * MS_PER_SECOND) / RATE_WINDOW_MS;
+  }
+
+  private refuse(reason: string, waitMs?: number): EngineDecision {
     const now = this.options.now();
     const waits = [...this.loads.values()].map((load) => load.getBacklogMs(now));
-    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(...waits, MAX_RETRY_MS));
+    const ownWaitMs = waitMs ?? Math.min(...waits);
+    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(ownWaitMs, MAX_RETRY_MS));
     return { kind: 'refused', retryAfterMs, reason };
   }
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * from './budget/index.js';
 export * from './engines/index.js';
 export * from './ledger/index.js';
+export * from './limits/index.js';
 export * from './placement/index.js';
 export * from './poison/index.js';
 export * from './queue/index.js';
--- /dev/null
+++ b/packages/scheduling/src/limits/index.ts
@@ -0,0 +1,5 @@
+/** Limits that upstreams grant to all processes together, and how they are shared out. */
+export * from './PermitQueue.js';
+export * from './RateLimit.js';
+export * from './RateLimiter.js';
+export * from './RateLimitTable.js';
