Play limits of runners in the soak

One runner after the other, with engines and without, now names 0.3 to 6 requests a second for some seconds, beside deadly parts and the other faults, with draws of its own. The check counts its requests in windows of four seconds later than ContactMs.

--- a/packages/fakes/src/soak/Bounds.ts
+++ b/packages/fakes/src/soak/Bounds.ts
@@ -12,6 +12,9 @@
   recoveryMs: 12_000,
   /** Prompts with a part that has ended five runners that may still be sent. */
   poisonedRequests: 3,
+  /** Excess over the limit of a runner in a window of 4 s: a factor, and requests beyond it. */
+  limitFactor: 1.5,
+  limitExtra: 5,
   retryRatio: 0.2,
   retryWindowSeconds: 10,
   retryExtra: 100,
--- a/packages/fakes/src/soak/PoisonWorkload.ts
+++ b/packages/fakes/src/soak/PoisonWorkload.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Random } from '../load/index.js';
 import type { Checks } from '../prove/Checks.js';
 import { BOUNDS } from './Bounds.js';
@@ -6,6 +5,7 @@
 import type { Disturbances } from './Disturbances.js';
 import type { RequestChecks } from './RequestChecks.js';
 import type { RunnerFleet } from './RunnerFleet.js';
+import { sleepUnless } from './sleepUnless.js';
 
 /** Options of a {@link PoisonWorkload}. */
 export interface PoisonWorkloadOptions {
@@ -23,7 +23,6 @@
 const FIRST_PARTS = 6;
 /** Crashes after which all entry processes have to learn of a part. */
 const KNOWN_CRASHES = 5;
-const POLL_INTERVAL_MS = 100;
 
 /** Gives the prompts of the clients shared parts, some of which end runners for a while. */
 export class PoisonWorkload {
@@ -81,8 +80,3 @@
     return `first${this.options.random.nextInteger(0, FIRST_PARTS - 1)}`;
   }
 }
-
-async function sleepUnless(isOver: () => boolean, ms: number): Promise<void> {
-  const endAt = performance.now() + ms;
-  while (!isOver() && performance.now() < endAt) await sleep(POLL_INTERVAL_MS);
-}
--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -11,6 +11,7 @@
 import { SERVICES } from './configuration.js';
 import { CORE, Disturbances } from './Disturbances.js';
 import { GatewayFaults } from './GatewayFaults.js';
+import { LimitWorkload } from './LimitWorkload.js';
 import { OperatorWorkload } from './OperatorWorkload.js';
 import { PoisonWorkload } from './PoisonWorkload.js';
 import { RequestChecks } from './RequestChecks.js';
@@ -37,6 +38,7 @@
 const DATA_CENTRES = ['a', 'b', 'c'];
 const SKIPPED_NUMBERS = 32;
 const POISON_SEED_OFFSET = 1_000_003;
+const LIMIT_SEED_OFFSET = 2_000_003;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -123,13 +125,10 @@
     const startedAt = performance.now();
     const requests = new RequestChecks({ checks, disturbances, graceMs, signals, startedAt });
     // Draws of its own, so that the other faults of a seed stay the same.
-    const poison = new PoisonWorkload({
-      random: new Random(this.options.seed + POISON_SEED_OFFSET),
-      checks,
-      disturbances,
-      requests,
-      runners,
-    });
+    const observed = { checks, disturbances, requests, runners };
+    const createRandom = (offset: number) => new Random(this.options.seed + offset);
+    const poison = new PoisonWorkload({ ...observed, random: createRandom(POISON_SEED_OFFSET) });
+    const limits = new LimitWorkload({ ...observed, random: createRandom(LIMIT_SEED_OFFSET) });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
@@ -165,6 +164,7 @@
       operators.runReads(isOver),
       operators.runProbes(isOver),
       poison.run(isOver),
+      limits.run(isOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
@@ -179,6 +179,7 @@
     requests.finish();
     faults.finish();
     poison.finish();
+    limits.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
