--- a/packages/scheduling/src/limits/RateLimiter.ts
+++ b/packages/scheduling/src/limits/RateLimiter.ts
@@ -18,7 +18,7 @@
  */
 const WINDOWS: Window[] = [
   { lengthMs: 4000, share: 1 },
-  { lengthMs: 1000, share: 1.25 },
+  { lengthMs: 1000, share: 2 },
 ];
 /** Milliseconds for which sends are remembered. */
 const MEMORY_MS = Math.max(...WINDOWS.map(({ lengthMs }) => lengthMs));
