Leave room in the limits of upstreams for more urgent requests

Requests beside which more urgent ones were sent lately are now paced to four fifths of the limit; others may send twice the limit within a second, and all together stay within the limit in four seconds.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -330,11 +330,12 @@
     );
     const healthy = usable.filter(({ engine }) => this.health.isUsable(engine.id, now));
     const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
+    const isPaced = this.getUrgentRate(job.priority) > 0;
     return (healthy.length > 0 ? healthy : usable).filter(
       (load) =>
         !load.isFull &&
         !this.trials.hasEngine(load.engine.id) &&
-        this.limiter.getWaitMs(load.engine.id) === 0 &&
+        this.limiter.getWaitMs(load.engine.id, isPaced) === 0 &&
         load.heldTokens + heldTokens <= maxHeldTokens,
     );
   }
--- a/packages/scheduling/src/limits/PermitQueue.ts
+++ b/packages/scheduling/src/limits/PermitQueue.ts
@@ -43,7 +43,7 @@
 export class PermitQueue {
   private waiting: WaitingRequest[] = [];
 
-  private grants: { customer: string; at: number }[] = [];
+  private grants: { customer: string; priority: number; at: number }[] = [];
 
   constructor(private readonly options: PermitQueueOptions) {}
 
@@ -68,10 +68,13 @@
     this.waiting = [];
     for (const one of ordered) {
       const { request, queuedAt, resolve } = one;
-      const upstream = request.upstreams.find((id) => this.options.limiter.getWaitMs(id) === 0);
+      const isPaced = this.grants.some(({ priority }) => priority < request.priority);
+      const upstream = request.upstreams.find(
+        (id) => this.options.limiter.getWaitMs(id, isPaced) === 0,
+      );
       if (upstream !== undefined) {
         this.options.limiter.recordSend(upstream);
-        this.grants.push({ customer: request.customer ?? '', at: now });
+        this.grants.push({ customer: request.customer ?? '', priority: request.priority, at: now });
         resolve({ kind: 'granted', upstream });
       } else if (now - queuedAt >= request.waitMs) resolve(refuse(this.estimateWaitMs(request)));
       else this.waiting.push(one);
--- a/packages/scheduling/src/limits/RateLimiter.ts
+++ b/packages/scheduling/src/limits/RateLimiter.ts
@@ -12,14 +12,16 @@
   share: number;
 }
 
-/**
- * Sliding windows of the limit. The short one keeps what has waited from being sent at once when
- * the long one opens.
- */
+/** The short window keeps what has waited from being sent at once when the long one opens. */
 const WINDOWS: Window[] = [
   { lengthMs: 4000, share: 1 },
   { lengthMs: 1000, share: 2 },
 ];
+/** Windows of less urgent requests, which leave room for more urgent ones that come later. */
+const PACED_WINDOWS: Window[] = [
+  { lengthMs: 4000, share: 0.8 },
+  { lengthMs: 1000, share: 1.25 },
+];
 /** Milliseconds for which sends are remembered. */
 const MEMORY_MS = Math.max(...WINDOWS.map(({ lengthMs }) => lengthMs));
 const MS_PER_SECOND = 1000;
@@ -53,13 +55,16 @@
     return this.options.getLimit(upstream);
   }
 
-  /** Gets the milliseconds until another request may be sent; 0 if it may be now. */
-  getWaitMs(upstream: string): number {
+  /**
+   * Gets the milliseconds until another request may be sent; 0 if it may be now.
+   * @param isPaced - True for a request beside which more urgent ones are expected.
+   */
+  getWaitMs(upstream: string, isPaced = false): number {
     const limit = this.options.getLimit(upstream);
     if (limit === undefined) return 0;
     const now = this.options.now();
     const sends = this.getRecent(upstream, now);
-    const waits = WINDOWS.map(({ lengthMs, share }) => {
+    const waits = (isPaced ? PACED_WINDOWS : WINDOWS).map(({ lengthMs, share }) => {
       const allowed = Math.max(1, Math.round((limit * share * lengthMs) / MS_PER_SECOND));
       const blocking = sends.at(-allowed);
       if (blocking !== undefined && blocking + lengthMs > now) return blocking + lengthMs - now;
