Keep services apart in the queue of permits, and accept jobs of earlier versions

Read in review: requests for one service counted as ahead of those for another, so they could be refused although their upstream was free; a job without parts, as an entry process of the last version sends it, would have failed on a scheduler that knows of any crash; and a scheduler without requests for half a second delayed the next one as if another had used the limits. Each of the first two has a test that fails without the change; the last uses the length of the window now.

--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -10,6 +10,7 @@
   PlacedJob,
   PermittedSend,
   JobUpdate,
+  SentJob,
   ShortPromptEnginesUpdate,
   QueuedJobDecision,
 } from './messages.js';
@@ -29,8 +30,11 @@
   link: Link;
 }
 
-/** Milliseconds without a decision after which the limits of upstreams may be used by others. */
-const MAX_DECISION_GAP_MS = 500;
+/**
+ * Milliseconds without a decision after which another scheduler may have used the limits of
+ * upstreams; as long as the window in which they are counted.
+ */
+const MAX_DECISION_GAP_MS = 4000;
 /** Interval in milliseconds at which queued jobs are reconsidered. */
 const QUEUE_INTERVAL_MS = 20;
 /** Interval in milliseconds between notifications of the engines that serve short prompts. */
@@ -75,7 +79,7 @@
   }
 
   addHandlers(handlers: Map<string, CallHandler>): void {
-    handlers.set(METHODS.place, (body, link) => this.place(body as EngineJob, link));
+    handlers.set(METHODS.place, (body, link) => this.place(toEngineJob(body as SentJob), link));
     handlers.set(METHODS.permit, (body) => {
       this.recordDecision();
       return this.permitQueue.request(body as PermitRequest);
@@ -112,7 +116,7 @@
     return decision;
   }
 
-  /** Called for each request to decide on; a process that was not asked for long is a new scheduler. */
+  /** Records that this process decides; one that did not for long may have become the scheduler. */
   private recordDecision(): void {
     const now = performance.now();
     if (now - this.decidedAt > MAX_DECISION_GAP_MS) this.limiter.assumeUsed();
@@ -120,7 +124,8 @@
   }
 
   private handleAdopt(placedJob: PlacedJob, link: Link): void {
-    const { job, upstream, helpers, isWriting, ageMs } = placedJob;
+    const { upstream, helpers, isWriting, ageMs } = placedJob;
+    const job = toEngineJob(placedJob.job);
     const scheduler = this.getScheduler(job.service);
     if (!scheduler || this.jobs.has(job.id)) return;
     scheduler.setEngines(this.options.table.getReady(job.service));
@@ -196,3 +201,7 @@
     this.options.logger.info({ request, decision }, 'placement decision');
   }
 }
+
+function toEngineJob(job: SentJob): EngineJob {
+  return { ...job, parts: job.parts ?? [] };
+}
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -92,9 +92,12 @@
   decision: EngineDecision;
 }
 
+/** A job as entry processes send it; those of earlier versions send no parts. */
+export type SentJob = Omit<EngineJob, 'parts'> & Partial<Pick<EngineJob, 'parts'>>;
+
 /** Reports a placed job to a scheduler that did not place it. */
 export interface PlacedJob {
-  job: EngineJob;
+  job: SentJob;
   upstream: string;
   helpers: EngineHelper[];
   /** True once the first event has arrived, so that the engine is decoding. */
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -40,10 +40,11 @@
     maxConnections: 9,
     engine: { ...ENGINE, capacity: 1 },
   });
+  const findings = new Findings({ now: () => performance.now(), logger: silentLogger });
   const service = new PlacementService({
     table,
     getConfiguration: () => configuration,
-    findings: new Findings({ now: () => performance.now(), logger: silentLogger }),
+    findings,
     logger: silentLogger,
   });
   const handlers = new Map<string, CallHandler>();
@@ -63,7 +64,7 @@
     service.stop();
     server.close();
   };
-  return { service, connectLink, place, stop };
+  return { service, findings, connectLink, place, stop };
 }
 
 test('releasing a running job places the next queued job', async () => {
@@ -103,3 +104,16 @@
   link.close();
   stop();
 });
+
+// Guards against a scheduler that fails on the jobs of entry processes of an earlier version.
+test('a job without parts is placed although parts are quarantined', async () => {
+  const { connectLink, findings, stop } = await startService();
+  ['e', 'f', 'g'].forEach((engine) => findings.recordCrash(engine, ['dead'], 0));
+  const link = connectLink();
+  const { parts, ...job } = createJob('1');
+  assert.deepEqual(parts, []);
+  const decision = (await link.call(METHODS.place, job, 1000)) as EngineDecision;
+  assert.equal(decision.kind, 'placed');
+  link.close();
+  stop();
+});
--- a/packages/scheduling/src/limits/PermitQueue.ts
+++ b/packages/scheduling/src/limits/PermitQueue.ts
@@ -28,6 +28,13 @@
   resolve: (permit: Permit) => void;
 }
 
+interface Grant {
+  upstream: string;
+  customer: string;
+  priority: number;
+  at: number;
+}
+
 const MS_PER_SECOND = 1000;
 /** Bounds in milliseconds of the delay after which a refused request may come back. */
 const MIN_RETRY_MS = 300;
@@ -43,7 +50,7 @@
 export class PermitQueue {
   private waiting: WaitingRequest[] = [];
 
-  private grants: { customer: string; priority: number; at: number }[] = [];
+  private grants: Grant[] = [];
 
   constructor(private readonly options: PermitQueueOptions) {}
 
@@ -68,13 +75,16 @@
     this.waiting = [];
     for (const one of ordered) {
       const { request, queuedAt, resolve } = one;
-      const isPaced = this.grants.some(({ priority }) => priority < request.priority);
+      const isPaced = this.grants.some(
+        (grant) => grant.priority < request.priority && request.upstreams.includes(grant.upstream),
+      );
       const upstream = request.upstreams.find(
         (id) => this.options.limiter.getWaitMs(id, isPaced) === 0,
       );
       if (upstream !== undefined) {
         this.options.limiter.recordSend(upstream);
-        this.grants.push({ customer: request.customer ?? '', priority: request.priority, at: now });
+        const { customer = '', priority } = request;
+        this.grants.push({ upstream, customer, priority, at: now });
         resolve({ kind: 'granted', upstream });
       } else if (now - queuedAt >= request.waitMs) resolve(refuse(this.estimateWaitMs(request)));
       else this.waiting.push(one);
@@ -85,7 +95,10 @@
   private estimateWaitMs({ upstreams, priority }: PermitRequest): number {
     const { limiter } = this.options;
     const nextMs = Math.min(...upstreams.map((id) => limiter.getWaitMs(id)));
-    const ahead = this.waiting.filter(({ request }) => request.priority <= priority).length;
+    const ahead = this.waiting.filter(
+      ({ request }) =>
+        request.priority <= priority && request.upstreams.some((id) => upstreams.includes(id)),
+    ).length;
     const perSecond = upstreams.reduce((sum, id) => sum + (limiter.getLimit(id) ?? Infinity), 0);
     return nextMs + (ahead === 0 ? 0 : (ahead / perSecond) * MS_PER_SECOND);
   }
--- a/packages/scheduling/src/poison/PoisonTable.ts
+++ b/packages/scheduling/src/poison/PoisonTable.ts
@@ -165,8 +165,9 @@
   /** Tells whether a quarantined part was on board at all crashes of this one and at more. */
   private isExplained(part: string): boolean {
     const own = this.getCrashesSinceAnswer(part);
-    return [...this.records.keys()].some((other) => {
-      if (other === part || this.countCrashes(other) < QUARANTINE_CRASHES) return false;
+    return [...this.records].some(([other, { crashes }]) => {
+      if (other === part || crashes.size < QUARANTINE_CRASHES) return false;
+      if (this.countCrashes(other) < QUARANTINE_CRASHES) return false;
       const others = new Set(this.getCrashesSinceAnswer(other).map(([engine]) => engine));
       return others.size > own.length && own.every(([engine]) => others.has(engine));
     });
--- a/packages/scheduling/tests/limits/PermitQueue.test.ts
+++ b/packages/scheduling/tests/limits/PermitQueue.test.ts
@@ -91,3 +91,12 @@
     ['c'],
   );
 });
+
+// Guards against requests for one service that wait for those of another.
+test('requests for other upstreams do not count as ahead', async () => {
+  const { ask, advance, granted, refused } = createQueue({ u: 0.5, v: 0.5 });
+  for (let index = 0; index < 4; index += 1) ask(`u${index}`);
+  ask('v', { upstreams: ['v'], waitMs: 0, priority: 3 });
+  await advance(20);
+  assert.deepEqual([granted, refused], [['u0', 'v'], []]);
+});
