Try a part that was answered lately at once when three crashes accuse it

Such a part is now tried at once, by a prompt that has no other accused part; the deadly one waits as before. PoisonTable.test.ts has the case, which fails without the change.

--- a/packages/scheduling/src/poison/PoisonTable.ts
+++ b/packages/scheduling/src/poison/PoisonTable.ts
@@ -173,9 +173,14 @@
     });
   }
 
-  /** Gets the time at which a prompt with several quarantined parts, which tells less, may run. */
+  /**
+   * Gets the time at which a prompt with a quarantined part may run. One with several of them waits
+   * longer, as it tells less. The first trial of a part that was answered lately need not wait.
+   */
   private getRetrialAt(part: string, quarantinedParts: number): number {
     const trials = this.countCrashes(part) - QUARANTINE_CRASHES + quarantinedParts - 1;
+    const answeredAt = this.records.get(part)?.answeredAt ?? -Infinity;
+    if (trials === 0 && this.options.now() - answeredAt <= TRUST_MS) return -Infinity;
     const lastAt = Math.max(...this.getCrashesSinceAnswer(part).map(([, { at }]) => at));
     return lastAt + (RETRIAL_DELAYS_MS[trials] ?? Infinity);
   }
--- a/packages/scheduling/tests/poison/PoisonTable.test.ts
+++ b/packages/scheduling/tests/poison/PoisonTable.test.ts
@@ -92,6 +92,19 @@
   assert.deepEqual(getKinds(site, 'first', 'dead'), ['sound', 'suspect']);
 });
 
+// Guards against refusals of sound prompts whose first part came along with a deadly one three times.
+test('a part that was answered just before its crashes is tried at once, but not with another one', () => {
+  const site = createTable();
+  site.table.recordAnswer(['first']);
+  crash(site, [
+    ['first', 'dead'],
+    ['first', 'dead'],
+    ['first', 'dead'],
+  ]);
+  assert.deepEqual(getKinds(site, 'first', 'dead'), ['suspect', 'quarantined']);
+  assert.equal(site.table.judge(['first', 'dead']).kind, 'quarantined');
+});
+
 test('a quarantined part is tried again ever later, and no more than twice after its fifth crash', () => {
   const site = createTable();
   crash(site, [['a'], ['a']]);
