--- a/packages/fakes/tests/limits.test.ts
+++ b/packages/fakes/tests/limits.test.ts
@@ -10,7 +10,7 @@
 const ENTRIES = 3;
 const RUN_MS = 14_000;
 const INTERVAL_MS = 40;
-/** Time at which the leader of the control processes is killed. */
+/** Time at which a control process, which may be the scheduler, is killed. */
 const KILL_AT_MS = 6000;
 const WINDOW_MS = 4000;
 /** Requests beyond one and a half times the limit that a runner may get in a window. */
--- a/packages/fakes/tests/poison.test.ts
+++ b/packages/fakes/tests/poison.test.ts
@@ -9,7 +9,7 @@
 const RUNNERS = 8;
 const RUN_MS = 12_000;
 const INTERVAL_MS = 60;
-/** One request in so many has the deadly part, and one its first part without the deadly one. */
+/** One request in so many has the deadly part; two others have its first part without it. */
 const DEADLY_EVERY = 10;
 /** Requests with a deadly part that may reach runners once it is known to all entry processes. */
 const MAX_LATE_ARRIVALS = 3;
