--- a/packages/scheduling/src/limits/RateLimiter.ts
+++ b/packages/scheduling/src/limits/RateLimiter.ts
@@ -68,6 +68,7 @@
       const allowed = Math.max(1, Math.round((limit * share * lengthMs) / MS_PER_SECOND));
       const blocking = sends.at(-allowed);
       if (blocking !== undefined && blocking + lengthMs > now) return blocking + lengthMs - now;
+      // What a predecessor may have sent counts as spread evenly over its part of the window.
       const since = now - lengthMs;
       const unknownMs = this.unknownBefore - since;
       if (unknownMs <= 0) return 0;
--- a/packages/scheduling/src/poison/PoisonTable.ts
+++ b/packages/scheduling/src/poison/PoisonTable.ts
@@ -32,6 +32,7 @@
 const TRUST_MS = 10_000;
 /** Milliseconds without a crash after which the evidence against a part is dropped. */
 const SUSPICION_TTL_MS = 60_000;
+/** The same for a quarantined part, as long as it has trials left. */
 const QUARANTINE_TTL_MS = 3_600_000;
 /** Bounds of the memory that prompts with ever new parts can take. */
 const MAX_RECORDS = 1000;
