--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -343,7 +343,7 @@
   }
 
   private subscribeTo(link: Link): void {
-    link.notifications.subscribe(({ method, body }) => {
+    link.subscribe(({ method, body }) => {
       if (method === METHODS.upstreams) this.mergeUpstreams(body as UpstreamUpdate);
     });
     this.receiveFindings(link);
@@ -357,7 +357,7 @@
 
   /** Merges the findings of another process, and passes on what is new here. */
   private receiveFindings(link: Link): void {
-    link.notifications.subscribe(({ method, body }) => {
+    link.subscribe(({ method, body }) => {
       if (method !== METHODS.findings) return;
       const changed = this.findings.merge(body as FindingsUpdate);
       if (changed) this.passOnFindings(changed, link);
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -90,7 +90,7 @@
   attach(link: Link): void {
     if (this.attachedLinks.has(link)) return;
     this.attachedLinks.add(link);
-    link.notifications.subscribe(({ method, body }) => {
+    link.subscribe(({ method, body }) => {
       if (method === METHODS.adopt) this.handleAdopt(body as PlacedJob, link);
       else if (method === METHODS.progress) this.handleProgress((body as JobUpdate).id);
       else if (method === METHODS.release) this.release(body as JobUpdate);
--- a/packages/gateway/src/links/Link.ts
+++ b/packages/gateway/src/links/Link.ts
@@ -1,6 +1,5 @@
 import type { Socket } from 'node:net';
 import { Subject } from 'rxjs';
-import type { Observable } from 'rxjs';
 import { encodeFrame, FrameKind, FrameReader } from './frames.js';
 import type { Frame } from './frames.js';
 import { LinkError } from './LinkError.js';
@@ -87,9 +86,18 @@
     return performance.now() - this.lastReceivedAt;
   }
 
-  /** Gets the notifications from the peer; completes when the link is closed. */
-  get notifications(): Observable<Notification> {
-    return this.notificationSubject.asObservable();
+  /**
+   * Subscribes to the notifications from the peer until the link is closed. An exception of the
+   * handler closes the link: the peer sends what this process does not understand.
+   */
+  subscribe(handler: (notification: Notification) => void): void {
+    this.notificationSubject.subscribe((notification) => {
+      try {
+        handler(notification);
+      } catch {
+        this.close();
+      }
+    });
   }
 
   /**
--- a/packages/gateway/src/upstreams/UpstreamCall.ts
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -53,20 +53,13 @@
 
   /**
    * Sends the request and resolves with the response once its headers have arrived.
-   * @throws UpstreamError when the connection fails, is closed before a response, or exceeds the
-   * limit on bytes before the end of the headers.
+   * @throws UpstreamError when the address or a header is invalid, the connection fails, is closed
+   * before a response, or exceeds the limit on bytes before the end of the headers.
    */
   send(): Promise<IncomingMessage> {
     const { options } = this;
     return new Promise((resolve, reject) => {
-      const request = openRequest({
-        ...parseAddress(options.address),
-        method: options.method,
-        path: options.path,
-        headers: toHeaderList(options),
-        agent: options.agent ?? false,
-        setHost: false,
-      });
+      const request = this.open();
       this.request = request;
       const timer = setTimeout(() => {
         request.destroy(new Error('connection not established in time'));
@@ -125,6 +118,22 @@
     this.request?.destroy();
   }
 
+  private open(): ClientRequest {
+    const { options } = this;
+    try {
+      return openRequest({
+        ...parseAddress(options.address),
+        method: options.method,
+        path: options.path,
+        headers: toHeaderList(options),
+        agent: options.agent ?? false,
+        setHost: false,
+      });
+    } catch (error) {
+      throw new UpstreamError(String(error), true);
+    }
+  }
+
   private limitBytes(request: ClientRequest, socket: Socket): void {
     // The parser of the response has handled the chunk before, as it was the first to listen.
     const countBytes = (chunk: Buffer): void => {
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -73,7 +73,7 @@
   assert.equal(await place(link, '1'), 'placed');
   assert.equal(await place(link, '2'), 'queued');
   const decidedId = new Promise((resolve) => {
-    link.notifications.subscribe(({ body }) => resolve((body as { id: string }).id));
+    link.subscribe(({ body }) => resolve((body as { id: string }).id));
   });
   link.notify(METHODS.release, { id: '1' });
   assert.equal(await decidedId, '2');
--- a/packages/gateway/tests/control/cluster.test.ts
+++ b/packages/gateway/tests/control/cluster.test.ts
@@ -90,7 +90,7 @@
     const socket = connect({ host: '127.0.9.4', port: cluster.linkPort });
     const link = new Link({ socket, handlers: new Map() });
     const seen: string[] = [];
-    link.notifications.subscribe(({ method }) => seen.push(method));
+    link.subscribe(({ method }) => seen.push(method));
     await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version: 0 }, 1000);
     // Several intervals of 60 ms at which the configuration is pushed.
     await new Promise((resolve) => {
@@ -143,6 +143,37 @@
     link.close();
   }));
 
+// Guards against a departure that only the entry process learns of which got the response.
+test('a departure that an entry process reports reaches the others', () =>
+  withCluster(async (cluster) => {
+    await cluster.nodes.get(1)?.announce(UPSTREAM);
+    await cluster.waitFor(async () => (await getReadyUpstreams(cluster, 2)).length === 1);
+    const { view } = await subscribe(cluster, 2);
+    const reporter = await subscribe(cluster, 3);
+    const records = [{ ...UPSTREAM, state: 'draining', ageMs: 0 }];
+    await reporter.link.call(METHODS.upstreams, { records }, 1000);
+    await cluster.waitFor(() => view.upstreamTable.getUpstream(UPSTREAM.id)?.state === 'draining');
+  }));
+
+// Guards against a process that ends by itself because of a message that it does not understand.
+test('a message that is not understood closes the link and nothing else', () =>
+  withCluster(async (cluster) => {
+    for (const method of [METHODS.findings, METHODS.upstreams, METHODS.adopt, METHODS.release]) {
+      const { link } = await subscribe(cluster, 2);
+      link.notify(method, { parts: 7, limits: null, records: 'none', job: null });
+      link.notify(method, null);
+      await Promise.race([
+        link.closed,
+        new Promise((resolve) => {
+          setTimeout(resolve, 200);
+        }),
+      ]);
+      link.close();
+    }
+    assert.equal((await getReadyUpstreams(cluster, 2)).length, 0);
+    assert.ok(await cluster.trySubmit(9));
+  }));
+
 const UPSTREAM: Announcement = {
   id: 'u',
   bornAt: 1000,
@@ -159,7 +190,7 @@
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   const socket = connect({ host: `127.0.9.${index}`, port: cluster.linkPort });
   const link = new Link({ socket, handlers: new Map() });
-  link.notifications.subscribe(({ method, body }) => {
+  link.subscribe(({ method, body }) => {
     if (method === METHODS.upstreams) view.mergeUpstreams(body as UpstreamUpdate);
   });
   await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version: 0 }, 1000);
--- a/packages/gateway/tests/entry/PermitClient.test.ts
+++ b/packages/gateway/tests/entry/PermitClient.test.ts
@@ -34,7 +34,7 @@
       ],
     ]);
     const onLink = (link: Link): void => {
-      link.notifications.subscribe(({ method }) => messages.push(method));
+      link.subscribe(({ method }) => messages.push(method));
     };
     const server = new LinkServer({ host: '127.0.0.1', port, handlers, onLink });
     await server.start();
