Heed departures and pauses that upstreams state, and doubt repeated refusals and foreign continuations

Three matters of one path, the evaluation of an upstream's response:

- A refusal without the attempt's id counted as this attempt's, also on a kept connection: clients were told 'not run' for a stream that ran, or it ran twice.
It is now believed on new connections only; requests without an id use connections of their own.
- A stream that had begun and broke off was continued with any 2xx response: the text of an error with status 200 came into the stream, and 204 or an answer without events that ended with its connection completed it.
A continuation must have status 200 and the media type of the stream; Content-Length of the first answer is not passed on.
- Server-Leaving: the incarnation counts as draining from the response on, in this process at once; the control processes tell all others by the path of announcements.
Later announcements of it do not revert that, a new incarnation does.

UpstreamStatements evaluates responses to requests and to commands in one place; what a response to another request, or one of another upstream at the address (421), says is ignored.

--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -75,6 +75,17 @@
     return known;
   }
 
+  /**
+   * Marks an incarnation of an upstream as draining; announcements of it do not revert that.
+   * @returns The record; undefined if the incarnation is not the known one, or not ready any more.
+   */
+  markDraining(id: string, bornAt: number): UpstreamRecord | undefined {
+    const known = this.records.get(id);
+    if (known?.bornAt !== bornAt || known.state !== 'ready') return undefined;
+    known.state = 'draining';
+    return known;
+  }
+
   getUpstream(id: string): UpstreamRecord | undefined {
     return this.records.get(id);
   }
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -1,6 +1,7 @@
 import { inflateRawSync } from 'node:zlib';
-import { BehaviorSubject } from 'rxjs';
+import { BehaviorSubject, Subject } from 'rxjs';
 import { UpstreamTable } from '@azurecart/discovery';
+import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { Findings } from '../findings/index.js';
 import { RoutingTable } from '../configuration/index.js';
@@ -24,6 +25,11 @@
 
   routing: RoutingTable | undefined;
 
+  private readonly departureSubject = new Subject<UpstreamRecord>();
+
+  /** Departures that this process learned from upstreams, which are to be told to others. */
+  readonly departures = this.departureSubject.asObservable();
+
   readonly cluster = new BehaviorSubject<ClusterUpdate>({
     members: [],
     leader: null,
@@ -64,6 +70,16 @@
     else this.cluster.next({ ...current, entries: update.entries });
   }
 
+  /**
+   * Records that an upstream has said that it leaves.
+   * @returns False if that is known, or if the upstream has started again since.
+   */
+  recordDeparture({ id, bornAt }: UpstreamRecord): boolean {
+    const record = this.upstreamTable.markDraining(id, bornAt);
+    if (record) this.departureSubject.next(record);
+    return record !== undefined;
+  }
+
   mergeUpstreams({ records }: UpstreamUpdate): void {
     records.forEach(({ ageMs, ...announcement }) => this.upstreamTable.merge(announcement, ageMs));
   }
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -1,3 +1,4 @@
+import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { LinkPool } from '../control/LinkPool.js';
 import { METHODS } from '../control/messages.js';
@@ -20,6 +21,7 @@
 }
 
 const SUBSCRIBE_TIMEOUT_MS = 1000;
+const DEPARTURE_TIMEOUT_MS = 1000;
 
 /** Subscribes to every known control process; one of them suffices to stay up to date. */
 export class ControlLinks {
@@ -43,6 +45,7 @@
 
   start(): void {
     this.options.view.findings.changes.subscribe((update) => this.sendFindings(update));
+    this.options.view.departures.subscribe((record) => this.sendDeparture(record));
     this.linkPool.retain(this.seeds);
   }
 
@@ -58,7 +61,7 @@
 
   private subscribe(link: Link): void {
     const { view, settings } = this.options;
-    link.notifications.subscribe(({ method, body }) => this.handleNotification(method, body));
+    link.subscribe(({ method, body }) => this.handleNotification(method, body));
     const subscription: Subscription = { kind: 'entry', vm: settings.vm, version: view.version };
     // After a failure the link is closed; the pool reconnects, which subscribes again.
     link.call(METHODS.subscribe, subscription, SUBSCRIBE_TIMEOUT_MS).catch(() => link.close());
@@ -71,6 +74,19 @@
       this.linkPool.getLink(address).current?.notify(METHODS.findings, update);
   }
 
+  /** Tells control processes of a departure, which tell all others as if it had been announced. */
+  private sendDeparture({ lastSeenAt, ...announcement }: UpstreamRecord): void {
+    const ageMs = Math.max(0, performance.now() - lastSeenAt);
+    const update: UpstreamUpdate = { records: [{ ...announcement, ageMs }] };
+    for (const address of this.linkPool.getAddresses())
+      this.linkPool
+        .getLink(address)
+        .current?.call(METHODS.upstreams, update, DEPARTURE_TIMEOUT_MS)
+        .catch((error: unknown) =>
+          this.options.logger.info({ err: error, address }, 'departure of an upstream not told'),
+        );
+  }
+
   private handleNotification(method: string, body: unknown): void {
     const { view, logger } = this.options;
     try {
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -20,6 +20,7 @@
 import { StartupGate } from './StartupGate.js';
 import { RetryBudgetShare } from './RetryBudgetShare.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
+import { UpstreamStatements } from './UpstreamStatements.js';
 import { ClusterView } from './ClusterView.js';
 import type { EntryProtocol } from './EntryProtocol.js';
 
@@ -44,6 +45,8 @@
 
   private readonly health = new UpstreamHealth();
 
+  private readonly statements: UpstreamStatements;
+
   private readonly startupGate = new StartupGate();
 
   private readonly registry = new Registry();
@@ -64,11 +67,13 @@
     const { settings, protocol, codec, logger } = options;
     this.lifetime = new ProcessLifetime({ graceMs: settings.graceSeconds * MS_PER_SECOND });
     this.view = new ClusterView({ codec, logger });
+    this.statements = new UpstreamStatements({ view: this.view, logger });
     this.controlLinks = new ControlLinks({ settings, view: this.view, logger });
     this.requestHandler = new RequestHandler({
       protocol,
       health: this.health,
       findings: this.view.findings,
+      statements: this.statements,
       placer: this.createPlacer(),
       agent: new UpstreamAgent(),
       metrics: new EntryMetrics(this.registry, this.view, () => this.openExchanges.size),
@@ -129,7 +134,7 @@
   }
 
   private createPlacer(): ScheduledPlacer {
-    const { view, health, controlLinks, startupGate } = this;
+    const { view, health, statements, controlLinks, startupGate } = this;
     const { dataCentre } = this.options.settings;
     const { logger } = this.options;
     const shortPromptEngines = new ShortPromptEngines(view);
@@ -138,9 +143,11 @@
       view,
       schedulers,
       shortPromptEngines,
+      statements,
       fallback: new LeastLoadedPlacer({
         view,
         health,
+        statements,
         shortPromptEngines,
         startupGate,
         permits: new PermitClient({ view, schedulers, logger }),
@@ -218,5 +225,6 @@
     const isKnown = (id: string) => this.view.upstreamTable.getUpstream(id) !== undefined;
     this.view.findings.removeExpired(isKnown);
     this.health.retain(isKnown);
+    this.statements.removeExpired();
   }
 }
--- a/packages/gateway/src/entry/EntryProtocol.ts
+++ b/packages/gateway/src/entry/EntryProtocol.ts
@@ -69,6 +69,10 @@
    * responses say so; undefined if there is no limit.
    */
   requestsPerSecond: number | undefined;
+  /** True if the upstream states that it leaves and accepts no further requests. */
+  isLeaving: boolean;
+  /** Milliseconds for which the upstream wants no requests from this process, if it states that. */
+  retryAfterMs: number | undefined;
 }
 
 /** Adapter for the platform's protocols with clients, upstreams and the load balancer. */
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -4,11 +4,13 @@
 import type { Placement, PlacementRequest, Placer, PlacementHandle } from './Placement.js';
 import type { StartupGate } from './StartupGate.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
+import type { UpstreamStatements } from './UpstreamStatements.js';
 import type { ClusterView } from './ClusterView.js';
 
 export interface LeastLoadedPlacerOptions {
   view: ClusterView;
   health: UpstreamHealth;
+  statements: UpstreamStatements;
   /** Knows which engines serve short prompts. */
   shortPromptEngines: ShortPromptEngines;
   /** Lets requests wait right after the start, while the upstreams are not known yet. */
@@ -42,8 +44,7 @@
     const { startupGate, permits } = this.options;
     const ranked = await startupGate.wait(() => this.rank(request), signal);
     const best = ranked?.[0];
-    if (!ranked || !best)
-      return { kind: 'refused', reason: 'no upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS };
+    if (!ranked || !best) return this.refuse(request);
     const unlimitedAt = ranked.findIndex(({ id }) => !permits.isLimited(id));
     if (unlimitedAt === 0) return { kind: 'placed', upstream: best, helpers: [] };
     return this.placeWithPermit(request, ranked, ranked[unlimitedAt], signal);
@@ -84,11 +85,24 @@
     return { kind: 'refused', reason: 'limits of the upstreams', retryAfterMs };
   }
 
+  private refuse({ service, excluded }: PlacementRequest): Placement {
+    const { statements } = this.options;
+    const waits = statements
+      .getPaused(service)
+      .filter(({ id }) => !excluded.has(id))
+      .map((upstream) => statements.getWaitMs(upstream));
+    return waits.length > 0
+      ? { kind: 'refused', reason: 'pauses of the upstreams', retryAfterMs: Math.min(...waits) }
+      : { kind: 'refused', reason: 'no upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS };
+  }
+
   /** Gets the upstreams in the order of their costs; undefined if there are none. */
   private rank(request: PlacementRequest): UpstreamRecord[] | undefined {
-    const { view, health } = this.options;
+    const { view, health, statements } = this.options;
     const ready = view.upstreamTable.getReady(request.service);
-    const untried = ready.filter(({ id }) => !request.excluded.has(id));
+    const untried = ready.filter(
+      (upstream) => !request.excluded.has(upstream.id) && statements.getWaitMs(upstream) === 0,
+    );
     const healthy = untried.filter(({ id }) => !health.isAvoided(id));
     const candidates = healthy.length > 0 ? healthy : untried;
     if (candidates.length === 0) return undefined;
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -37,6 +37,9 @@
   /** Id of the last event of the stream that the client has received. */
   lastEventId: string | undefined;
 
+  /** Media type of the stream that the client receives, once its head has been sent. */
+  streamType: string | undefined;
+
   /** Milliseconds from the arrival of the request to the first event for the client. */
   firstEventMs: number | undefined;
 
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -20,6 +20,7 @@
 import { RouteDurations } from './RouteDurations.js';
 import { UpstreamAttempt } from './UpstreamAttempt.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
+import type { UpstreamStatements } from './UpstreamStatements.js';
 import type { RequestMetadata, EntryProtocol } from './EntryProtocol.js';
 import { sendBufferedResponse } from './bufferedResponse.js';
 
@@ -29,6 +30,7 @@
   placer: Placer;
   health: UpstreamHealth;
   findings: Findings;
+  statements: UpstreamStatements;
   agent: UpstreamAgent;
   metrics: EntryMetrics;
   getRetryBudget: (service: string) => RetryBudgetShare;
@@ -70,8 +72,8 @@
   private readonly openContexts = new Set<RequestContext>();
 
   constructor(private readonly options: RequestHandlerOptions) {
-    const { protocol, agent, logger } = options;
-    this.commandClient = new EngineCommandClient({ protocol, agent, logger });
+    const { protocol, agent, statements, logger } = options;
+    this.commandClient = new EngineCommandClient({ protocol, agent, statements, logger });
   }
 
   /** Handles one request; never rejects. */
@@ -204,7 +206,7 @@
   }
 
   private async runAttempt(context: RequestContext): Promise<AttemptOutcome> {
-    const { placer, protocol, health, findings, agent } = this.options;
+    const { placer, protocol, health, statements, agent } = this.options;
     const request = context.getPlacementRequest();
     const placement = await placer.place(request, context.signal);
     if (placement.kind === 'refused') return placement;
@@ -226,6 +228,12 @@
         : 'engine memory not granted';
       return { kind: 'notRun', reason };
     }
+    if (!statements.isOpen(upstream)) {
+      context.recordFailedPlacement(upstream.id);
+      handle.release('orderly');
+      memory.release();
+      return { kind: 'notRun', reason: 'upstream accepts no requests any more' };
+    }
     const observedHandle = this.observeEvents(context, handle, expectedMs);
     const unresponsive = new AbortController();
     const monitor = this.monitorLiveness(memory, upstream, unresponsive);
@@ -242,7 +250,7 @@
       const attemptOptions = {
         protocol,
         health,
-        findings,
+        statements,
         agent,
         context,
         upstream,
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -17,11 +17,13 @@
 } from './Placement.js';
 import type { SchedulerSelector } from './SchedulerSelector.js';
 import type { ClusterView } from './ClusterView.js';
+import type { UpstreamStatements } from './UpstreamStatements.js';
 
 export interface ScheduledPlacerOptions {
   view: ClusterView;
   schedulers: SchedulerSelector;
   shortPromptEngines: ShortPromptEngines;
+  statements: UpstreamStatements;
   /**
    * Places requests while no scheduler responds, and always those without a prompt and those for
    * services without engines.
@@ -66,6 +68,9 @@
     const verdict = view.findings.poison.judge(request.parts);
     if (verdict.kind === 'quarantined') return refuseQuarantined(verdict.retryAfterMs);
     const job = this.createJob(request);
+    const pauseMs = this.getPauseMs(job);
+    if (pauseMs !== undefined)
+      return { kind: 'refused', reason: 'pauses of the upstreams', retryAfterMs: pauseMs };
     let timeoutShare = FIRST_SCHEDULER_SHARE;
     for (const link of this.refreshSchedulers().filter((each) => !schedulers.isPaused(each))) {
       const decision = await this.requestDecision(link, job, timeoutShare, signal);
@@ -106,17 +111,22 @@
     if (decision.kind === 'queued')
       return { kind: 'refused', reason: 'time is over', retryAfterMs: NO_DECISION_RETRY_AFTER_MS };
     const upstream = this.options.view.upstreamTable.getUpstream(decision.engine);
+    const { helpers } = decision;
+    const placedHelpers = this.getHelpers(helpers);
     // The scheduler may know upstreams that are not known here yet, or have left in the meantime.
-    if (!upstream || upstream.state !== 'ready') {
+    if (
+      !upstream ||
+      !this.options.statements.isOpen(upstream) ||
+      placedHelpers.length < helpers.length
+    ) {
       notifyRelease(link, { id: job.id });
       return this.placeWithoutScheduler(request, signal);
     }
-    const { helpers } = decision;
     this.placedJobs.register({ job, upstream: upstream.id, helpers, isWriting: false }, link);
     return {
       kind: 'placed',
       upstream,
-      helpers: this.getHelpers(helpers),
+      helpers: placedHelpers,
       jobId: job.id,
       expectedMs: decision.expectedMs,
       isScheduled: true,
@@ -207,7 +217,7 @@
   private subscribe(link: Link): void {
     if (this.subscribedLinks.has(link)) return;
     this.subscribedLinks.add(link);
-    link.notifications.subscribe((notification) => this.handleNotification(notification));
+    link.subscribe((notification) => this.handleNotification(notification));
     link.closed.then(() => {
       for (const pending of this.pendingDecisions.values())
         if (pending.link === link) pending.resolve(undefined);
@@ -224,16 +234,30 @@
     else if (decision.kind === 'placed') notifyRelease(link, { id });
   }
 
+  /**
+   * Gets the milliseconds until an upstream accepts requests from this process again, if none of
+   * those that may serve the job does now; undefined if one does, or if there is none at all.
+   */
+  private getPauseMs({ service, excluded }: EngineJob): number | undefined {
+    const { view, statements } = this.options;
+    const paused = statements.getPaused(service);
+    if (paused.length === 0) return undefined;
+    const isOpen = view.upstreamTable.getReady(service).some(({ id }) => !excluded.includes(id));
+    return isOpen ? undefined : Math.min(...paused.map((each) => statements.getWaitMs(each)));
+  }
+
+  /** Gets the helpers of a decision that still accept requests. */
   private getHelpers(helpers: EngineHelper[]): PlacedHelper[] {
     const { upstreamTable } = this.options.view;
     return helpers.flatMap(({ engine, heldTokens }) => {
       const upstream = upstreamTable.getUpstream(engine);
-      return upstream ? [{ upstream, heldTokens }] : [];
+      return upstream?.state === 'ready' ? [{ upstream, heldTokens }] : [];
     });
   }
 
   private createJob(request: PlacementRequest): EngineJob {
-    const { dataCentre } = this.options;
+    const { dataCentre, statements } = this.options;
+    const paused = statements.getPaused(request.service);
     const id = `${request.clientAttemptId}#${this.nextId}`;
     this.nextId += 1;
     return {
@@ -246,7 +270,7 @@
       pauseMs: request.route.pauseMs,
       remainingMs: request.remainingMs,
       waitedMs: request.waitedMs,
-      excluded: [...request.excluded],
+      excluded: [...request.excluded, ...paused.map(({ id: upstream }) => upstream)],
       parts: request.parts,
     };
   }
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from 'node:http';
 import type { UpstreamRecord } from '@azurecart/discovery';
-import type { Findings } from '../findings/index.js';
 import {
   ResponseCompletion,
   EventStreamSplitter,
@@ -16,12 +15,13 @@
 import { StallTimer } from './StallTimer.js';
 import { readBufferedBody, sendBufferedResponse } from './bufferedResponse.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
-import type { PrefillHelper, EntryProtocol, ResponseMetadata } from './EntryProtocol.js';
+import type { UpstreamStatements } from './UpstreamStatements.js';
+import type { PrefillHelper, EntryProtocol } from './EntryProtocol.js';
 
 export interface UpstreamAttemptOptions {
   protocol: EntryProtocol;
   health: UpstreamHealth;
-  findings: Findings;
+  statements: UpstreamStatements;
   agent: UpstreamAgent;
   context: RequestContext;
   upstream: UpstreamRecord;
@@ -40,6 +40,7 @@
 /** Status of a response by another upstream, which has taken over the address. */
 const MISDIRECTED_REQUEST = 421;
 const SERVICE_UNAVAILABLE = 503;
+const SUCCESS = 200;
 
 /** One attempt to have a request served by one upstream. */
 export class UpstreamAttempt {
@@ -60,6 +61,7 @@
     context.signal.addEventListener('abort', abort);
     unresponsive.addEventListener('abort', abort);
     context.recordSend(upstream.id);
+    this.options.statements.recordSend(upstream);
     try {
       return await this.handleResponse(await call.send(), call);
     } catch (error) {
@@ -95,28 +97,41 @@
       path: request.url ?? '/',
       headers: getEndToEndHeaders(headers.flat()),
       body: context.body,
-      // An upstream may close an idle connection just as a request is sent on it. It would then be
-      // unknown whether the request was executed, so non-idempotent ones use new connections.
-      agent: context.route.kind === 'nonIdempotent' ? undefined : agent,
+      agent: this.mayReuseConnection() ? agent : undefined,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
   }
 
+  /**
+   * Returns true if the request may be sent on a connection that others have used. An upstream may
+   * close an idle connection just as a request is sent on it. It would then be unknown whether the
+   * request was executed, so non-idempotent ones use new connections. So do those without an id, as
+   * nothing else tells a late response to an earlier request from theirs.
+   */
+  private mayReuseConnection(): boolean {
+    const { route, clientAttemptId } = this.options.context;
+    return route.kind !== 'nonIdempotent' && clientAttemptId !== undefined;
+  }
+
   private async handleResponse(
     response: IncomingMessage,
     call: UpstreamCall,
   ): Promise<AttemptOutcome> {
-    const { protocol, health, context, upstream } = this.options;
+    const { protocol, health, context, upstream, statements } = this.options;
     const status = response.statusCode ?? 0;
     const metadata = protocol.parseResponse(status, response.headers);
-    const isForOtherRequest =
-      context.clientAttemptId !== undefined && metadata.clientAttemptId !== context.clientAttemptId;
-    this.recordLimit(metadata);
-    // An upstream that did not execute the request may omit `clientAttemptId`.
-    if (isForOtherRequest && (!metadata.isNotExecuted || metadata.clientAttemptId !== undefined)) {
+    const { clientAttemptId } = metadata;
+    // An upstream that did not execute the request may omit `clientAttemptId`. On a connection that
+    // other requests have used, such a response may repeat the refusal of one of them.
+    const isOwn =
+      clientAttemptId === context.clientAttemptId ||
+      (clientAttemptId === undefined && metadata.isNotExecuted && !call.isReused);
+    if (!isOwn) {
       response.destroy();
       return { kind: 'unknown', reason: 'answer to another request' };
     }
+    context.upstreamLimit = metadata.requestsPerSecond;
+    statements.record(upstream, status, metadata);
     if (metadata.isNotExecuted) {
       call.discard(response);
       context.revertRunCount();
@@ -139,20 +154,6 @@
     return this.relayBuffered(response, call);
   }
 
-  /**
-   * Records the limit that a response names. Only the answer to an executed request lifts one, as
-   * another upstream may have rejected the request, or one that rejects it may not name its limit.
-   */
-  private recordLimit(metadata: ResponseMetadata): void {
-    const { findings, context, upstream } = this.options;
-    const { requestsPerSecond, isSigned, clientAttemptId } = metadata;
-    const isForOtherRequest =
-      clientAttemptId !== undefined && clientAttemptId !== context.clientAttemptId;
-    if (isForOtherRequest || (requestsPerSecond === undefined && !isSigned)) return;
-    context.upstreamLimit = requestsPerSecond;
-    findings.recordLimit(upstream.id, upstream.bornAt, requestsPerSecond);
-  }
-
   private async relayBuffered(
     response: IncomingMessage,
     call: UpstreamCall,
@@ -178,6 +179,13 @@
     return { kind: 'done' };
   }
 
+  /** Returns true if a response goes on with the stream that another one has begun. */
+  private isContinuation(response: IncomingMessage): boolean {
+    return (
+      response.statusCode === SUCCESS && getMediaType(response) === this.options.context.streamType
+    );
+  }
+
   /**
    * Relays events as they arrive; a partially received event is never relayed, nor one whose id does
    * not follow that of the event before it.
@@ -188,12 +196,23 @@
   ): Promise<AttemptOutcome> {
     const { health, context, upstream, handle, timeouts } = this.options;
     const { exchange } = context;
+    if (exchange.response.headersSent && !this.isContinuation(response)) {
+      response.destroy();
+      health.recordErrorResponse(upstream.id);
+      return { kind: 'unknown', reason: 'answer does not continue the stream' };
+    }
     const eventSplitter = new EventStreamSplitter();
     const completion = new ResponseCompletion(response);
     let previousId = exchange.response.headersSent ? context.lastEventId : undefined;
+    let hasEvents = false;
     const writeHead = (): void => {
       if (exchange.response.headersSent) return;
-      exchange.writeHead(response.statusCode ?? 200, getEndToEndHeaders(response.rawHeaders));
+      context.streamType = getMediaType(response);
+      // Another upstream may finish the stream with a different number of bytes.
+      const headers = getEndToEndHeaders(response.rawHeaders).filter(
+        ([name]) => name.toLowerCase() !== 'content-length',
+      );
+      exchange.writeHead(response.statusCode ?? SUCCESS, headers);
     };
     try {
       for await (const chunk of response as AsyncIterable<Buffer>) {
@@ -201,6 +220,7 @@
         const events = eventSplitter.read(chunk);
         const newEvents = getNewEvents(events, previousId);
         if (newEvents.length > 0) {
+          hasEvents = true;
           writeHead();
           handle.reportProgress();
           this.stallTimer.stop();
@@ -218,7 +238,7 @@
     if (!(await completion.isComplete()) || context.signal.aborted || eventSplitter.hasPartialEvent)
       return { kind: 'unknown', reason: 'stream broke off' };
     // An upstream that ends after its head leaves the same bytes.
-    if (completion.isCloseDelimited && context.lastEventId === undefined)
+    if (completion.isCloseDelimited && !hasEvents)
       return { kind: 'unknown', reason: 'stream without length and events' };
     writeHead();
     exchange.response.end(eventSplitter.trailingBytes);
@@ -227,6 +247,11 @@
   }
 }
 
+/** Gets the media type of a response, without parameters. */
+function getMediaType(response: IncomingMessage): string {
+  return (response.headers['content-type'] ?? '').split(';')[0]?.trim().toLowerCase() ?? '';
+}
+
 /** Gets the events before the first one that repeats an id or goes back behind it. */
 function getNewEvents(
   events: ServerSentEvent[],
--- a/packages/gateway/src/entry/memory/EngineCommandClient.ts
+++ b/packages/gateway/src/entry/memory/EngineCommandClient.ts
@@ -4,10 +4,12 @@
 import { UpstreamCall } from '../../upstreams/index.js';
 import type { UpstreamAgent } from '../../upstreams/index.js';
 import type { EngineCommand, EntryProtocol } from '../EntryProtocol.js';
+import type { UpstreamStatements } from '../UpstreamStatements.js';
 
 export interface EngineCommandClientOptions {
   protocol: EntryProtocol;
   agent: UpstreamAgent;
+  statements: UpstreamStatements;
   logger: Logger;
 }
 
@@ -22,7 +24,7 @@
 
   /** Sends a command and gets the status code of the response; undefined if none came in time. */
   async send(upstream: UpstreamRecord, command: EngineCommand): Promise<number | undefined> {
-    const { protocol, agent, logger } = this.options;
+    const { protocol, agent, statements, logger } = this.options;
     const { method, path, headers, body } = protocol.buildCommandRequest(upstream.id, command);
     const call = new UpstreamCall({
       address: upstream.address,
@@ -36,6 +38,8 @@
     const timer = setTimeout(() => call.abort(), RESPONSE_TIMEOUT_MS);
     try {
       const response = await call.send();
+      const status = response.statusCode ?? 0;
+      statements.record(upstream, status, protocol.parseResponse(status, response.headers));
       await text(response);
       // The log field for the command is `order`.
       logger.debug(
--- a/packages/gateway/tests/entry/memory.test.ts
+++ b/packages/gateway/tests/entry/memory.test.ts
@@ -7,7 +7,7 @@
 import { silentLogger } from '../control/ControlCluster.js';
 import { formatResponse, ScriptedUpstream } from './ScriptedUpstream.js';
 import type { Script } from './ScriptedUpstream.js';
-import { protocol } from './startEntry.js';
+import { createStatements, protocol } from './startEntry.js';
 
 const granted: Script = (socket, request) => socket.write(formatResponse(request, '200 OK', '{}'));
 const refused: Script = (socket, request) =>
@@ -18,9 +18,14 @@
 async function startEngines(scripts: Script[]) {
   const engines = await Promise.all(scripts.map((script) => ScriptedUpstream.start(script)));
   const agent = new UpstreamAgent();
-  const commandClient = new EngineCommandClient({ protocol, agent, logger: silentLogger });
+  const commandClient = new EngineCommandClient({
+    protocol,
+    agent,
+    statements: createStatements(),
+    logger: silentLogger,
+  });
   const helpers = engines.map(({ address }, index) => ({
-    upstream: { id: `e${index}`, address } as UpstreamRecord,
+    upstream: { id: `e${index}`, bornAt: 1, address } as UpstreamRecord,
     heldTokens: 1000,
   }));
   const stop = (): void => {
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -16,6 +16,7 @@
 import { LinkServer } from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
 import { ENGINE } from '../samples.js';
+import { createStatements } from './startEntry.js';
 import { getFreePort, silentLogger, versionCodec } from '../control/ControlCluster.js';
 import { RoutingTable } from '../../src/configuration/index.js';
 
@@ -45,7 +46,7 @@
       port,
       handlers,
       onLink: (link) =>
-        link.notifications.subscribe(({ method }) => {
+        link.subscribe(({ method }) => {
           scheduler.received.push(method);
         }),
     });
@@ -111,18 +112,21 @@
   while (members.some((address) => !linkPool.getLink(address).current)) await sleep(5);
   const shortPromptEngines = new ShortPromptEngines(view);
   const selector = new SchedulerSelector({ view, linkPool });
+  const statements = createStatements(view);
   const fallback = new LeastLoadedPlacer({
     view,
     permits: new PermitClient({ view, schedulers: selector, logger: silentLogger }),
     health: new UpstreamHealth(),
     shortPromptEngines,
     startupGate: new StartupGate({ windowMs: 0 }),
+    statements,
     dataCentre: 'd',
   });
   const placer = new ScheduledPlacer({
     view,
     schedulers: selector,
     shortPromptEngines,
+    statements,
     fallback,
     dataCentre: 'd',
     logger: silentLogger,
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -15,6 +15,7 @@
 import { SchedulerSelector } from '../../src/entry/SchedulerSelector.js';
 import { StartupGate } from '../../src/entry/StartupGate.js';
 import { UpstreamHealth } from '../../src/entry/UpstreamHealth.js';
+import { UpstreamStatements } from '../../src/entry/UpstreamStatements.js';
 import { ClusterView } from '../../src/entry/ClusterView.js';
 import type { UpstreamRequestMetadata, EntryProtocol } from '../../src/entry/EntryProtocol.js';
 import type { Placer } from '../../src/entry/Placement.js';
@@ -24,7 +25,8 @@
 
 /**
  * A protocol for tests with the request headers `attempt`, `key`, `deadline` and `last`, and the
- * response headers `attempt`, `signed`, `unrun` and `faulty`. Upstreams get the headers `customer`,
+ * response headers `attempt`, `signed`, `unrun`, `faulty`, `limit`, `leaving` and `pause` (the
+ * milliseconds for which an upstream wants no requests). Upstreams get the headers `customer`,
  * `expected` (the id of the upstream), `deadline` (the remaining milliseconds) and `last`.
  */
 export const protocol: EntryProtocol = {
@@ -61,9 +63,18 @@
     faultyUpstream: headers.faulty as string | undefined,
     isSigned: headers.signed !== undefined,
     requestsPerSecond: headers.limit === undefined ? undefined : Number(headers.limit),
+    isLeaving: headers.leaving !== undefined,
+    retryAfterMs: headers.pause === undefined ? undefined : Number(headers.pause),
   }),
 };
 
+/** Creates the statements of upstreams, of a view without any unless one is given. */
+export function createStatements(
+  view = new ClusterView({ codec: versionCodec, logger: silentLogger }),
+): UpstreamStatements {
+  return new UpstreamStatements({ view, logger: silentLogger });
+}
+
 /** A response as received by the client. */
 export interface ClientResponse {
   status: number;
@@ -80,6 +91,7 @@
     options?: { disconnectAfterMs?: number },
   ): Promise<ClientResponse>;
   stop(): void;
+  view: ClusterView;
 }
 
 export interface TestEntryOptions {
@@ -115,6 +127,7 @@
     }),
   );
   const health = new UpstreamHealth();
+  const statements = createStatements(view);
   const agent = new UpstreamAgent();
   const budget = new RetryBudgetShare({
     ratio,
@@ -125,6 +138,7 @@
   const leastLoaded = new LeastLoadedPlacer({
     view,
     health,
+    statements,
     shortPromptEngines: new ShortPromptEngines(view),
     startupGate: new StartupGate({ windowMs: 0 }),
     permits: createPermitClient(view),
@@ -136,6 +150,7 @@
     placer: heldTokens === 0 ? leastLoaded : addHelper(leastLoaded, view, heldTokens),
     health,
     findings: view.findings,
+    statements,
     agent,
     metrics: new EntryMetrics(new Registry(), view, () => 0),
     getRetryBudget: () => budget,
@@ -152,6 +167,7 @@
   });
   const { port } = server.address() as AddressInfo;
   return {
+    view,
     send: (headers = {}, { disconnectAfterMs } = {}) => send(port, headers, disconnectAfterMs),
     stop: () => {
       server.close();
