--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -69,6 +69,8 @@
   endedAt: number | undefined;
   /** `completed` is an answer sent in full, `aborted` one that the other side has cut off. */
   ending: 'running' | 'rejected' | 'completed' | 'failed' | 'brokenOff' | 'aborted';
+  /** True if the head of the answer said that the runner leaves. */
+  saysThatItLeaves?: boolean;
 }
 
 /** Gets the answer of a runner to a request without prompt tokens. */
@@ -98,6 +100,12 @@
   /** Requests per second, named in each answer, that the runner accepts from all callers together. */
   requestsPerSecond: number | undefined;
 
+  /** True if the runner says in each answer that it leaves. */
+  isLeaving = false;
+
+  /** Milliseconds for which the runner, which rejects all requests, wants none from the caller. */
+  retryAfterMs: number | undefined;
+
   private readonly server: Server;
 
   private readonly latencyModel: LatencyModel;
@@ -212,7 +220,8 @@
     try {
       if (this.behaviour === 'late') await sleep(LATE_MS);
       if (response.destroyed) return;
-      if (request.headers['x-token-usage'] !== undefined)
+      if (this.retryAfterMs !== undefined) this.reject(request, response, record);
+      else if (request.headers['x-token-usage'] !== undefined)
         await this.runPrompt(request, response, record);
       else if (this.behaviour === 'full' || this.runningCount > capacity * 2)
         this.reject(request, response, record);
@@ -242,10 +251,14 @@
   }
 
   private getResponseHeaders(request: IncomingMessage) {
-    const { requestsPerSecond } = this;
+    const { requestsPerSecond, isLeaving, retryAfterMs } = this;
+    const record = this.recordedRequests.findLast(({ headers }) => headers === request.headers);
+    if (record) record.saysThatItLeaves = isLeaving;
     return {
       'x-attempt-id': request.headers['x-attempt-id'],
       ...(requestsPerSecond === undefined ? {} : { 'server-limit': String(requestsPerSecond) }),
+      ...(isLeaving ? { 'server-leaving': '1' } : {}),
+      ...(retryAfterMs === undefined ? {} : { 'retry-after': String(retryAfterMs / 1000) }),
     };
   }
 
--- a/packages/fakes/src/soak/RequestChecks.ts
+++ b/packages/fakes/src/soak/RequestChecks.ts
@@ -19,6 +19,15 @@
   isJudged: boolean;
 }
 
+/** A request that a runner has received, and the entry process that sent it. */
+export interface Arrival {
+  entry: string;
+  request: SoakRequest;
+  /** Monotonic time at which the client sent the request. */
+  sentAt: number;
+  run: RunnerRequest;
+}
+
 /** SIGTERM or SIGHUP of an entry process. */
 export interface PlannedSignal {
   signal: 'SIGTERM' | 'SIGHUP';
@@ -96,9 +105,9 @@
   }
 
   /** Gets what runners have received, with the entry processes that sent it. */
-  getArrivals(): { entry: string; request: SoakRequest; run: RunnerRequest }[] {
-    return [...this.attempts.values()].flatMap(({ entry, request, runs }) =>
-      runs.map((run) => ({ entry, request, run })),
+  getArrivals(): Arrival[] {
+    return [...this.attempts.values()].flatMap(({ entry, request, sentAt, runs }) =>
+      runs.map((run) => ({ entry, request, sentAt, run })),
     );
   }
 
--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -17,6 +17,7 @@
 import { RequestChecks } from './RequestChecks.js';
 import type { PlannedSignal } from './RequestChecks.js';
 import { isReady, Rotation } from './Rotation.js';
+import { StatementWorkload } from './StatementWorkload.js';
 import { RunnerFleet } from './RunnerFleet.js';
 
 /** Options of a {@link Soak}. */
@@ -39,6 +40,7 @@
 const SKIPPED_NUMBERS = 32;
 const POISON_SEED_OFFSET = 1_000_003;
 const LIMIT_SEED_OFFSET = 2_000_003;
+const STATEMENT_SEED_OFFSET = 3_000_017;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -129,6 +131,10 @@
     const createRandom = (offset: number) => new Random(this.options.seed + offset);
     const poison = new PoisonWorkload({ ...observed, random: createRandom(POISON_SEED_OFFSET) });
     const limits = new LimitWorkload({ ...observed, random: createRandom(LIMIT_SEED_OFFSET) });
+    const statements = new StatementWorkload({
+      ...observed,
+      random: createRandom(STATEMENT_SEED_OFFSET),
+    });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
@@ -165,6 +171,7 @@
       operators.runProbes(isOver),
       poison.run(isOver),
       limits.run(isOver),
+      statements.run(isOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
@@ -180,6 +187,7 @@
     faults.finish();
     poison.finish();
     limits.finish();
+    statements.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
