Serve waves beyond the limits of engines on time for most instead of late for almost all

The queue went by due time, and counted as able to be on time what had not passed its objective but for a seventh of its prefill: each one waited until it was all but late. Ruled out: the choice by load (engines answered in 95 ms once chosen) and the limiter (all turns were used).

- OnTimeOrder counts the pass and the prefill, and under overload offers the latest of the jobs that can still be on time first.
- Clients leave a stream after a time without an event (Route.patienceMs, published by the platform); the queue counted with the whole deadline.
- A short prompt that is late and that SpareCapacity gives no turn is refused at once, for 3 s.
- A short prompt waits for an engine that can serve it on time while there may be one.
- Short prompts leave engines to the first long prompt that must start soon; long prompts prefer engines with a limit, where they displace few short ones.

EngineSimulation lost jobs that a policy placed on an engine while one of its jobs ended; such jobs never ended for the policy.

--- a/packages/gateway/src/configuration/Configuration.ts
+++ b/packages/gateway/src/configuration/Configuration.ts
@@ -25,6 +25,8 @@
    * limit: schedulers then expect every pause to exceed it.
    */
   pauseMs: z.number(),
+  /** Milliseconds without an event after which clients leave a stream; undefined if not known. */
+  patienceMs: z.number().optional(),
   /** Priority; 0 is the highest. */
   priority: z.number(),
   /** Maximum number of attempts per request, not counting those known not to have executed. */
--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -13,6 +13,8 @@
   maxOutputTokens: number;
   /** Milliseconds until the client's deadline. */
   remainingMs: number;
+  /** Milliseconds until the client leaves unless an event arrives; undefined if not known. */
+  patienceMs?: number;
   /** Milliseconds since the request arrived. */
   waitedMs: number;
   priority: number;
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -127,6 +127,14 @@
     return this.deadlineAt - performance.now();
   }
 
+  /** Milliseconds until the client leaves unless an event arrives; undefined if not known. */
+  private get patienceMs(): number | undefined {
+    const { patienceMs } = this.route;
+    if (patienceMs === undefined) return undefined;
+    const lastHeardAt = Math.max(this.exchange.startedAt, this.previousEventAt);
+    return Math.max(0, lastHeardAt + patienceMs - performance.now());
+  }
+
   /** Number of upstreams that may have executed the request. */
   get runs(): number {
     return this.runCount;
@@ -210,6 +218,7 @@
       promptTokens: this.promptTokens,
       maxOutputTokens: metadata.maxOutputTokens ?? 0,
       remainingMs: this.remainingMs,
+      patienceMs: this.patienceMs,
       waitedMs: this.exchange.elapsedMs,
       priority: this.priority,
       customer: this.customerName,
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -269,6 +269,7 @@
       objectiveMs: request.route.objectiveMs,
       pauseMs: request.route.pauseMs,
       remainingMs: request.remainingMs,
+      patienceMs: request.patienceMs,
       waitedMs: request.waitedMs,
       excluded: [...request.excluded, ...paused.map(({ id: upstream }) => upstream)],
       parts: request.parts,
--- a/packages/scheduling/src/engines/EngineJob.ts
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -16,6 +16,11 @@
   pauseMs: number;
   /** Maximum time in milliseconds, from now, for which the client waits. */
   remainingMs: number;
+  /**
+   * Time in milliseconds, from now, after which the client leaves unless an event has arrived;
+   * undefined if it waits for the first event as long as for the whole answer.
+   */
+  patienceMs?: number;
   /** Milliseconds since the request arrived. */
   waitedMs: number;
   /** Ids of engines on which the request has failed. */
--- a/packages/scheduling/src/engines/EngineLoad.ts
+++ b/packages/scheduling/src/engines/EngineLoad.ts
@@ -26,7 +26,7 @@
 export const LONG_PREFILL_MS = 180;
 
 /** Share of the running pass that a new job is expected to wait for. */
-const REMAINING_PASS_SHARE = 0.75;
+export const REMAINING_PASS_SHARE = 0.75;
 
 interface RunningJob extends Required<EngineDemand> {
   job: EngineJob;
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -14,11 +14,14 @@
 import type { EngineDecision, EngineHelper, EngineJob } from './EngineJob.js';
 import { EngineHealth } from './EngineHealth.js';
 import type { JobEnding } from './EngineHealth.js';
-import { EngineLoad, LONG_PREFILL_MS } from './EngineLoad.js';
+import { EngineLoad, LONG_PREFILL_MS, REMAINING_PASS_SHARE } from './EngineLoad.js';
 import type { EngineDescriptor } from './EngineLoad.js';
 import { LatencyModel } from './LatencyModel.js';
 import type { PerformanceProfile } from './LatencyModel.js';
 import { PartTrials } from './PartTrials.js';
+import { OnTimeOrder } from './OnTimeOrder.js';
+import type { WaitingJob } from './OnTimeOrder.js';
+import { SpareCapacity } from './SpareCapacity.js';
 
 export interface EngineSchedulerOptions {
   profile: PerformanceProfile;
@@ -32,12 +35,6 @@
   limiter?: RateLimiter;
 }
 
-interface QueuedJob {
-  job: EngineJob;
-  arrivedAt: number;
-  deadlineAt: number;
-}
-
 /**
  * Share of an engine's memory that prompts may use. The rest is left for output tokens, which are
  * not counted in `heldTokens`.
@@ -46,6 +43,12 @@
 /** Bounds of the retry delay of a refusal, in milliseconds. */
 const MIN_RETRY_MS = 300;
 const MAX_RETRY_MS = 1200;
+/** Retry delay in milliseconds of prompts that find no turn, as bursts outlast shorter ones. */
+const OVERLOAD_RETRY_MS = 3000;
+/** Milliseconds in which the short prompts on an engine usually end. */
+const DRAIN_MS = 1500;
+/** Maximum number of engines that short prompts leave to long ones. */
+const MAX_HELD_ENGINES = 4;
 /** Share of its objective for which a queued multi-engine prompt holds back later long prompts. */
 const HOLD_BACK_SHARE = 0.5;
 
@@ -80,7 +83,14 @@
 
   private readonly limiter: RateLimiter;
 
-  private queue: QueuedJob[] = [];
+  private readonly order: OnTimeOrder;
+
+  private readonly spareCapacity: SpareCapacity;
+
+  private queue: WaitingJob[] = [];
+
+  /** Engines that short prompts leave to a long one, which could not be on time otherwise. */
+  private heldEngines = new Set<string>();
 
   /** Jobs placed within `RATE_WINDOW_MS` while all engines had a limit. */
   private recentPlacements: { at: number; priority: number }[] = [];
@@ -89,6 +99,8 @@
 
   constructor(private readonly options: EngineSchedulerOptions) {
     this.model = new LatencyModel(options.profile);
+    this.order = new OnTimeOrder({ getLeastMs: (job) => this.getLeastFirstEventMs(job) });
+    this.spareCapacity = new SpareCapacity(options);
     this.limiter =
       options.limiter ?? new RateLimiter({ now: options.now, getLimit: () => undefined });
     this.poison = options.poison ?? new PoisonTable({ now: options.now });
@@ -115,13 +127,18 @@
   /** Places or refuses a job, or queues it until it can be placed. */
   place(job: EngineJob): EngineDecision {
     const now = this.options.now();
-    const arrivedAt = now - job.waitedMs;
+    const { remainingMs, patienceMs = Infinity } = job;
+    const waiting: WaitingJob = {
+      job,
+      arrivedAt: now - job.waitedMs,
+      deadlineAt: now + Math.min(remainingMs, patienceMs + MIN_DECODE_MS),
+    };
+    if (!this.isLong(job)) this.spareCapacity.recordArrival(job.priority);
     const decision =
-      this.mustWaitForMultiEngineJob(job, arrivedAt, now) || this.mustWaitForLimits(job)
+      this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
-        : this.decide(job, job.waitedMs, now + job.remainingMs, now);
-    if (decision.kind !== 'queued') return decision;
-    this.queue.push({ job, arrivedAt, deadlineAt: now + job.remainingMs });
+        : this.decide(waiting, now);
+    if (decision.kind === 'queued') this.queue.push(waiting);
     return decision;
   }
 
@@ -191,24 +208,21 @@
    */
   decideQueued(): void {
     const now = this.options.now();
-    const waiting = this.queue.sort((a, b) => this.compare(a, b, now));
+    const ordered = this.order.sort(this.queue, now);
+    this.heldEngines = this.findHeldEngines(ordered, now);
     this.queue = [];
-    for (const queued of waiting) {
-      const { job, arrivedAt, deadlineAt } = queued;
-      const decision = this.mustWaitForMultiEngineJob(job, arrivedAt, now)
+    for (const waiting of ordered) {
+      const decision = this.mustWaitForMultiEngineJob(waiting, now)
         ? QUEUED
-        : this.decide(job, now - arrivedAt, deadlineAt, now);
-      if (decision.kind === 'queued') this.queue.push(queued);
-      else this.options.onDecided(job.id, decision);
+        : this.decide(waiting, now);
+      if (decision.kind === 'queued') this.queue.push(waiting);
+      else this.options.onDecided(waiting.job.id, decision);
     }
   }
 
-  private decide(
-    job: EngineJob,
-    waitedMs: number,
-    deadlineAt: number,
-    now: number,
-  ): EngineDecision {
+  private decide(waiting: WaitingJob, now: number): EngineDecision {
+    const { job, arrivedAt, deadlineAt } = waiting;
+    const waitedMs = now - arrivedAt;
     const prefillMs = this.model.getPrefillMs(job.promptTokens);
     const remainingMs = deadlineAt - now;
     const slackMs = job.objectiveMs * OBJECTIVE_SHARE - waitedMs;
@@ -232,6 +246,7 @@
       maxHeldTokens,
       now,
       getFailureRate: (load: EngineLoad) => this.health.getFailureRate(load.engine.id, now),
+      hasLimit: this.hasLimit,
     };
     if (this.needsMultipleEngines(job)) {
       const choice = chooseMultipleEngines(context);
@@ -240,17 +255,19 @@
     }
     const isLong = prefillMs > LONG_PREFILL_MS;
     const choice = isLong ? chooseForLongPrompt(context) : chooseForShortPrompt(context);
-    // A busy engine is used only when the job cannot wait for an idle one.
-    if (
-      choice &&
-      (choice.isAcceptable || !canWaitForIdleEngine(isLong, slackMs, prefillMs, remainingMs))
-    )
+    // An engine that makes the job late is used only when the job cannot wait for a better one.
+    const canWait = isLong
+      ? canWaitForIdleEngine(slackMs, prefillMs, remainingMs)
+      : this.order.canBeOnTime(waiting, now);
+    if (choice && (choice.isAcceptable || !canWait))
       return this.assign(job, choice, prefillMs, suspectParts, now);
     // Lower bound of the time needed, with the most helpers; short prompts get none.
     if (remainingMs < prefillMs / (MAX_HELPERS + 1) + MIN_DECODE_MS)
       return this.refuse('the time left is too short');
     if (isLong && this.isOverloaded(prefillMs, remainingMs, now))
       return this.refuse('engines are busy');
+    if (!isLong && this.hasNoTurn(waiting, now))
+      return this.refuse('engines are busy', OVERLOAD_RETRY_MS, OVERLOAD_RETRY_MS);
     const limitWaitMs = this.getLimitWaitMs(job);
     const patienceMs = Math.min(
       remainingMs - MIN_DECODE_MS,
@@ -282,8 +299,8 @@
    * its objective (`HOLD_BACK_SHARE`). Without this, multi-engine prompts would starve, as other
    * long prompts take each engine that becomes idle.
    */
-  private mustWaitForMultiEngineJob(job: EngineJob, arrivedAt: number, now: number): boolean {
-    if (this.model.getPrefillMs(job.promptTokens) <= LONG_PREFILL_MS) return false;
+  private mustWaitForMultiEngineJob({ job, arrivedAt }: WaitingJob, now: number): boolean {
+    if (!this.isLong(job)) return false;
     return this.queue.some(
       (other) =>
         this.needsMultipleEngines(other.job) &&
@@ -293,22 +310,29 @@
     );
   }
 
-  /**
-   * Orders the queue by priority, then jobs that can still meet their objective first, then by the
-   * end of the objective. Late jobs go last, as serving one may make another miss its objective.
-   */
-  private compare(a: QueuedJob, b: QueuedJob, now: number): number {
-    return (
-      a.job.priority - b.job.priority ||
-      Number(this.missesObjective(a, now)) - Number(this.missesObjective(b, now)) ||
-      getFirstEventDueAt(a) - getFirstEventDueAt(b)
-    );
+  /** Gets the time in milliseconds from the placement of a job to its first event, at least. */
+  private getLeastFirstEventMs({ promptTokens }: EngineJob): number {
+    const prefillMs = this.model.getPrefillMs(promptTokens);
+    if (prefillMs > LONG_PREFILL_MS) return prefillMs / (MAX_HELPERS + 1);
+    // On an engine in use, the rest of the running pass comes first.
+    return prefillMs + this.model.getPassMs(1, promptTokens) * (1 + REMAINING_PASS_SHARE);
   }
 
-  /** Returns true when a queued prompt can no longer meet its objective. */
-  private missesObjective({ job, arrivedAt }: QueuedJob, now: number): boolean {
-    const prefillMs = this.model.getPrefillMs(job.promptTokens);
-    return arrivedAt + job.objectiveMs < now + prefillMs / (MAX_HELPERS + 1);
+  private isLong({ promptTokens }: EngineJob): boolean {
+    return this.model.getPrefillMs(promptTokens) > LONG_PREFILL_MS;
+  }
+
+  /**
+   * Returns true when a short prompt can no longer be on time, and those that can will leave it no
+   * turn before its client leaves. The prompts that wait behind it are not counted.
+   */
+  private hasNoTurn(waiting: WaitingJob, now: number): boolean {
+    // The limits themselves tell more than what was placed lately.
+    if (this.totalLimit < Infinity || this.order.canBeOnTime(waiting, now)) return false;
+    const { priority } = waiting.job;
+    const ahead = this.queue.filter(({ job }) => !this.isLong(job) && job.priority <= priority);
+    const waitMs = this.spareCapacity.getWaitMs(ahead.length + 1, priority);
+    return now + waitMs + this.getLeastFirstEventMs(waiting.job) > waiting.deadlineAt;
   }
 
   /**
@@ -324,16 +348,60 @@
     return Math.floor(this.options.profile.kvCacheTokens * MEMORY_SHARE);
   }
 
-  private getCandidates(job: EngineJob, maxHeldTokens: number, now: number): EngineLoad[] {
+  /**
+   * Finds the engines to be drained for the first long prompt that waits and would be late if it did
+   * so any longer: those with the fewest jobs, as many as it needs.
+   */
+  private findHeldEngines(ordered: WaitingJob[], now: number): Set<string> {
+    const next = ordered.find((each) => this.isLong(each.job) && this.mustStartSoon(each, now));
+    if (!next) return new Set();
+    const { dataCentre } = next.job;
+    const wanted = Math.min(MAX_HELD_ENGINES, this.getNeededEngines(next, now));
+    const usable = this.getHealthy(next.job, now).filter(
+      (load) => this.limiter.getWaitMs(load.engine.id) < DRAIN_MS,
+    );
+    const isFar = ({ engine }: EngineLoad): number => Number(engine.dataCentre !== dataCentre);
+    const isFree = (load: EngineLoad): number => Number(!this.hasLimit(load));
+    const ranked = usable.sort(
+      (a, b) => isFree(a) - isFree(b) || a.size - b.size || isFar(a) - isFar(b),
+    );
+    return new Set(ranked.slice(0, wanted).map(({ engine }) => engine.id));
+  }
+
+  private readonly hasLimit = ({ engine }: EngineLoad): boolean =>
+    this.limiter.getLimit(engine.id) !== undefined;
+
+  private mustStartSoon(waiting: WaitingJob, now: number): boolean {
+    if (!this.order.canBeOnTime(waiting, now)) return false;
+    const { job, arrivedAt } = waiting;
+    const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
+    const prefillMs = this.model.getPrefillMs(job.promptTokens);
+    return slackMs - prefillMs / this.getNeededEngines(waiting, now) < DRAIN_MS;
+  }
+
+  /** Gets the number of engines with which a long prompt can be on time if they are idle soon. */
+  private getNeededEngines({ job, arrivedAt }: WaitingJob, now: number): number {
+    const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
+    const prefillMs = this.model.getPrefillMs(job.promptTokens);
+    return Math.max(1, Math.ceil(prefillMs / (Math.max(1, slackMs) * PREFILL_SHARE)));
+  }
+
+  private getHealthy(job: EngineJob, now: number): EngineLoad[] {
     const usable = [...this.loads.values()].filter(
       ({ engine }) => !job.excluded.includes(engine.id),
     );
     const healthy = usable.filter(({ engine }) => this.health.isUsable(engine.id, now));
+    return healthy.length > 0 ? healthy : usable;
+  }
+
+  private getCandidates(job: EngineJob, maxHeldTokens: number, now: number): EngineLoad[] {
+    const isShort = !this.isLong(job);
     const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
     const isPaced = this.getUrgentRate(job.priority) > 0;
-    return (healthy.length > 0 ? healthy : usable).filter(
+    return this.getHealthy(job, now).filter(
       (load) =>
         !load.isFull &&
+        !(isShort && this.heldEngines.has(load.engine.id)) &&
         !this.trials.hasEngine(load.engine.id) &&
         this.limiter.getWaitMs(load.engine.id, isPaced) === 0 &&
         load.heldTokens + heldTokens <= maxHeldTokens,
@@ -371,6 +439,7 @@
     load.add(job, { prefillMs: partMs, heldTokens }, now);
     this.health.recordJob(load.engine.id, job.id);
     this.limiter.recordSend(load.engine.id);
+    if (!this.isLong(job)) this.spareCapacity.recordPlacement();
     if (this.totalLimit < Infinity) this.recentPlacements.push({ at: now, priority: job.priority });
     if (suspectParts.length > 0) this.trials.start(job.id, load.engine.id, suspectParts);
     const helperJob = { ...job, id: getHelperJobId(job.id) };
@@ -436,11 +505,11 @@
     return (urgent.length * MS_PER_SECOND) / RATE_WINDOW_MS;
   }
 
-  private refuse(reason: string, waitMs?: number): EngineDecision {
+  private refuse(reason: string, waitMs?: number, mostMs = MAX_RETRY_MS): EngineDecision {
     const now = this.options.now();
     const waits = [...this.loads.values()].map((load) => load.getBacklogMs(now));
     const ownWaitMs = waitMs ?? Math.min(...waits);
-    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(ownWaitMs, MAX_RETRY_MS));
+    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(ownWaitMs, mostMs));
     return { kind: 'refused', retryAfterMs, reason };
   }
 }
@@ -457,7 +526,7 @@
 }
 
 /** Gets the time by which the first event is due to meet the objective. */
-function getFirstEventDueAt({ job, arrivedAt }: QueuedJob): number {
+function getFirstEventDueAt({ job, arrivedAt }: WaitingJob): number {
   return arrivedAt + job.objectiveMs;
 }
 
@@ -465,13 +534,7 @@
  * Returns true while a long prompt can wait for an idle engine: its objective, or at least the time
  * for which the client waits, can still be met.
  */
-function canWaitForIdleEngine(
-  isLong: boolean,
-  slackMs: number,
-  prefillMs: number,
-  remainingMs: number,
-): boolean {
-  if (!isLong) return false;
+function canWaitForIdleEngine(slackMs: number, prefillMs: number, remainingMs: number): boolean {
   // Estimated prefill time with helpers. `chooseForLongPrompt` adds no more of them than it takes to
   // prefill within this share of the objective; here the share of the shorter slack is used.
   const fastestPrefillMs = Math.min(
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -38,6 +38,11 @@
   now: number;
   /** Gets the recent failure rate of an engine, 0 to 1. */
   getFailureRate: (load: EngineLoad) => number;
+  /**
+   * Returns true for an engine that has named a limit. It accepts few short prompts, so a long one
+   * that occupies it displaces fewer of them than on another engine.
+   */
+  hasLimit: (load: EngineLoad) => boolean;
 }
 
 /** Share of the objective that a predicted time to the first event may use. */
--- a/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
@@ -5,6 +5,8 @@
 
 /** Cost of an engine in another data centre, as a fraction of a failed or late request. */
 const LONG_PROMPT_DISTANCE_COST = 0.1;
+/** Cost of an engine without a limit while others have one, in the same terms. */
+const UNLIMITED_ENGINE_COST = 0.5;
 /** Maximum number of engines that help to prefill a prompt that does not need several engines. */
 export const MAX_HELPERS = 6;
 
@@ -19,21 +21,25 @@
   prefillMs,
   now,
   getFailureRate,
+  hasLimit,
 }: ChoiceContext): EngineChoice | undefined {
   const heldTokens = job.promptTokens;
   const isReliable = (load: EngineLoad): boolean => getFailureRate(load) < MAX_HELPER_FAILURE_RATE;
   const idle = candidates.filter((load) => load.size === 0);
+  const limitedFirst = [...idle].sort((a, b) => Number(hasLimit(b)) - Number(hasLimit(a)));
+  const someHaveLimits = limitedFirst[0] !== undefined && hasLimit(limitedFirst[0]);
   const bestIdle = minBy(
-    idle,
+    limitedFirst,
     (load) =>
       Number(load.engine.dataCentre !== job.dataCentre) * LONG_PROMPT_DISTANCE_COST +
+      Number(someHaveLimits && !hasLimit(load)) * UNLIMITED_ENGINE_COST +
       getFailureRate(load),
   );
   if (bestIdle) {
     const parts = Math.ceil(prefillMs / (job.objectiveMs * PREFILL_SHARE));
     return {
       load: bestIdle,
-      helpers: getHelpers(bestIdle, idle.filter(isReliable), parts),
+      helpers: getHelpers(bestIdle, limitedFirst.filter(isReliable), parts),
       heldTokens,
       isAcceptable: true,
     };
--- a/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
@@ -1,5 +1,5 @@
 import type { EngineLoad } from '../EngineLoad.js';
-import { minBy } from './EngineChoice.js';
+import { minBy, OBJECTIVE_SHARE } from './EngineChoice.js';
 import type { ChoiceContext, EngineChoice } from './EngineChoice.js';
 
 /** Number of short prompts to which an engine is filled before an idle one is used. */
@@ -53,5 +53,7 @@
     );
   };
   const best = minBy(candidates, cost);
-  return best && { load: best, helpers: [], heldTokens: job.promptTokens, isAcceptable: true };
+  if (!best) return undefined;
+  const isAcceptable = best.getFirstEventMs(prefillMs, now) <= slackMs / OBJECTIVE_SHARE;
+  return { load: best, helpers: [], heldTokens: job.promptTokens, isAcceptable };
 }
--- a/packages/scheduling/src/engines/choices/chooseMultipleEngines.ts
+++ b/packages/scheduling/src/engines/choices/chooseMultipleEngines.ts
@@ -21,12 +21,16 @@
     remainingMs,
     maxHeldTokens,
     getFailureRate,
+    hasLimit,
   } = context;
   const holders = Math.ceil(job.promptTokens / maxHeldTokens);
-  const idle = sortByDistance(
-    candidates.filter((load) => load.size === 0 && getFailureRate(load) < MAX_HELPER_FAILURE_RATE),
-    job.dataCentre,
-  ).slice(0, MAX_ENGINES_PER_PROMPT);
+  const reliable = candidates.filter(
+    (load) => load.size === 0 && getFailureRate(load) < MAX_HELPER_FAILURE_RATE,
+  );
+  const isFar = ({ engine }: EngineLoad): number => Number(engine.dataCentre !== job.dataCentre);
+  const idle = reliable
+    .sort((a, b) => Number(hasLimit(b)) - Number(hasLimit(a)) || isFar(a) - isFar(b))
+    .slice(0, MAX_ENGINES_PER_PROMPT);
   if (idle.length < holders) return undefined;
   const meetsObjective = prefillMs / idle.length < slackMs;
   const isServable = prefillMs / idle.length + MIN_DECODE_MS < remainingMs;
@@ -48,8 +52,3 @@
     isAcceptable: true,
   };
 }
-
-function sortByDistance(loads: EngineLoad[], dataCentre: string): EngineLoad[] {
-  const isFar = ({ engine }: EngineLoad): number => Number(engine.dataCentre !== dataCentre);
-  return [...loads].sort((a, b) => isFar(a) - isFar(b));
-}
--- a/packages/scheduling/src/engines/index.ts
+++ b/packages/scheduling/src/engines/index.ts
@@ -5,3 +5,4 @@
 export type { EngineDescriptor } from './EngineLoad.js';
 export * from './EngineScheduler.js';
 export * from './LatencyModel.js';
+export * from './OnTimeOrder.js';
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -266,6 +266,49 @@
   assert.equal(scheduler.place(createJob('l2', later)).kind, 'placed');
 });
 
+/** Fills an engine with short prompts that are decoding. */
+function fillEngine(scheduler: EngineScheduler, prefix: string, count = ENGINE_CAPACITY): void {
+  for (let index = 0; index < count; index += 1) {
+    scheduler.place(createJob(`${prefix}${index}`, {}));
+    scheduler.markDecoding(`${prefix}${index}`);
+  }
+}
+
+// Guards against prompts held until their clients leave, though no turn will come.
+test('a short prompt that is late and finds no turn is refused with a time to come back', () => {
+  const { scheduler, clock, decided } = createScheduler(1);
+  fillEngine(scheduler, 's');
+  assert.equal(scheduler.place(createJob('w', { patienceMs: 2000 })).kind, 'queued');
+  clock.now = 60;
+  scheduler.decideQueued();
+  assert.equal(decided.has('w'), false);
+  clock.now = 150;
+  scheduler.decideQueued();
+  const decision = decided.get('w');
+  assert.ok(decision?.kind === 'refused' && decision.retryAfterMs >= 1000);
+});
+
+// Guards against long prompts that never find an idle engine beside many short ones.
+test('short prompts leave an engine to a long one that must start soon', () => {
+  const { scheduler, clock, decided } = createScheduler(2);
+  fillEngine(scheduler, 's', 14);
+  const long = { ...LONG, promptTokens: 100_000, objectiveMs: 3000 };
+  assert.equal(scheduler.place(createJob('l', long)).kind, 'queued');
+  clock.now = 500;
+  scheduler.decideQueued();
+  const before = scheduler.place(createJob('n0', {}));
+  const after = scheduler.place(createJob('n1', {}));
+  assert.equal(getEngineOf(before), getEngineOf(after));
+  for (let index = 0; index < 2 * ENGINE_CAPACITY; index += 1) scheduler.release(`s${index}`);
+  assert.equal(decided.get('l')?.kind, 'placed');
+});
+
+test('a short prompt waits for an engine that can serve it on time', () => {
+  const { scheduler } = createScheduler(1);
+  scheduler.place(createJob('l', { ...LONG, promptTokens: 100_000 }));
+  assert.equal(scheduler.place(createJob('s', {})).kind, 'queued');
+});
+
 /** Events after the first one, per answer. */
 const SHORT_EVENTS = 38;
 const LONG_EVENTS = 19;
--- a/packages/scheduling/tests/engines/EngineSimulation.ts
+++ b/packages/scheduling/tests/engines/EngineSimulation.ts
@@ -84,7 +84,7 @@
 
   private readonly engines = new Map<string, { freeAt: number; jobs: SimulatedJob[] }>();
 
-  private readonly onTime = new Map<number, { all: number; onTime: number }>();
+  private readonly onTimeIds = new Set<string>();
 
   private policy: SchedulingPolicy | undefined;
 
@@ -110,15 +110,23 @@
     this.policy = policy;
     const pending = [...arrivals].sort((a, b) => a.atMs - b.atMs);
     const endAt = (pending.at(-1)?.atMs ?? 0) + 20_000;
-    for (const { job } of pending) this.count(job.objectiveMs, 0, 1);
     for (; this.now < endAt; this.now += 1) {
       while (pending[0] && pending[0].atMs <= this.now) this.start(pending.shift());
       this.engines.forEach((engine) => this.advance(engine));
       if (this.now % 20 === 0) tick();
     }
-    return new Map(
-      [...this.onTime].map(([objectiveMs, { all, onTime }]) => [objectiveMs, onTime / all]),
-    );
+    return this.getShares(arrivals, ({ job }) => job.objectiveMs);
+  }
+
+  /** Gets the share of requests on time in each group of arrivals. */
+  getShares<K>(arrivals: Arrival[], getGroup: (arrival: Arrival) => K): Map<K, number> {
+    const groups = new Map<K, { all: number; onTime: number }>();
+    for (const arrival of arrivals) {
+      const { all, onTime } = groups.get(getGroup(arrival)) ?? { all: 0, onTime: 0 };
+      const own = Number(this.onTimeIds.has(arrival.job.id));
+      groups.set(getGroup(arrival), { all: all + 1, onTime: onTime + own });
+    }
+    return new Map([...groups].map(([group, { all, onTime }]) => [group, onTime / all]));
   }
 
   private start(arrival: Arrival | undefined): void {
@@ -143,20 +151,17 @@
       if (job.emittedEvents === 0) this.policy?.markDecoding(job.arrival.job.id);
       job.emitEvent(engineState.freeAt);
     }
-    engineState.jobs = engineState.jobs.filter((job) => !this.isDone(job));
-  }
-
-  private isDone(job: SimulatedJob): boolean {
-    if (job.isHelper) return job.isPrefilled;
-    const { job: request, events } = job.arrival;
-    if (job.emittedEvents <= events) return false;
-    this.policy?.release(request.id);
-    if (!job.isLate) this.count(request.objectiveMs, 1, 0);
-    return true;
+    const done = engineState.jobs.filter(isDone);
+    engineState.jobs = engineState.jobs.filter((job) => !isDone(job));
+    // Last, as the policy may place queued jobs on this engine.
+    for (const { arrival, isHelper, isLate } of done) {
+      if (isHelper) continue;
+      if (!isLate) this.onTimeIds.add(arrival.job.id);
+      this.policy?.release(arrival.job.id);
+    }
   }
+}
 
-  private count(objectiveMs: number, onTime: number, all: number): void {
-    const known = this.onTime.get(objectiveMs) ?? { all: 0, onTime: 0 };
-    this.onTime.set(objectiveMs, { all: known.all + all, onTime: known.onTime + onTime });
-  }
+function isDone({ isHelper, isPrefilled, emittedEvents, arrival }: SimulatedJob): boolean {
+  return isHelper ? isPrefilled : emittedEvents > arrival.events;
 }
