Count only long prompts as work before a long prompt

A long prompt was refused as 'engines are busy' while a dozen short ones waited in the queue: each counted with its prefill and 0.8 s, as if it took an engine of its own, so ten of them seemed to outlast the client.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -410,7 +410,7 @@
 
   /**
    * Returns true when the prompts that run on engines without short prompts, and the queued ones,
-   * leave too little time to serve this long one. A new prompt counts the whole queue, also prompts
+   * leave too little time to serve this long one. A new prompt counts all queued long ones, also those
    * that would be served after it. A queued one counts only those that stay in the queue ahead of
    * it, because `decideQueued` empties the queue and refills it in order.
    */
@@ -418,10 +418,9 @@
     const available = [...this.loads.values()].filter((load) => load.shortPromptCount === 0);
     const engines = Math.max(1, available.length);
     const running = available.reduce((sum, load) => sum + load.getBacklogMs(now), 0);
-    const waiting = this.queue.reduce(
-      (sum, { job }) => sum + this.model.getPrefillMs(job.promptTokens) + MIN_DECODE_MS,
-      0,
-    );
+    const waiting = this.queue
+      .filter(({ job }) => this.isLong(job))
+      .reduce((sum, { job }) => sum + this.model.getPrefillMs(job.promptTokens) + MIN_DECODE_MS, 0);
     return (running + waiting) / engines + prefillMs + MIN_DECODE_MS > remainingMs;
   }
 
