Send configurations and refreshes to entry processes from their own data centre

Each entry process subscribes to all control processes, and each of those sent it every configuration and, every 10 s, all upstreams: four in five copies crossed data centres for nothing, and the bytes grew with the product of both. Each subscriber that came or left also made every control process send the number of entry processes to all subscribers at once, a square of messages while 195 processes start.

The control process of the subscriber's data centre sends at once; the others do after 250 ms if the entry process has not told them that it activated that version, and refresh at every fourth interval. A process that starts gets its first configuration from all. Subscribers that come together are announced once.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -143,6 +143,7 @@
       now,
       isRecent: () => this.replica?.isRecent(MAX_LEADER_SILENCE_MS) ?? false,
       getCluster: () => this.getCluster(),
+      dataCentre: settings.dataCentre,
     });
     this.placement = new PlacementService({
       table: this.table,
--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -4,7 +4,12 @@
 import type { Link } from '../links/index.js';
 import type { ConfigurationState } from './ConfigurationState.js';
 import { METHODS } from './messages.js';
-import type { AgedAnnouncement, ClusterUpdate, Subscription } from './messages.js';
+import type {
+  AgedAnnouncement,
+  AppliedConfiguration,
+  ClusterUpdate,
+  Subscription,
+} from './messages.js';
 
 /** Options of an {@link UpdatePublisher}. */
 export interface UpdatePublisherOptions {
@@ -15,30 +20,55 @@
   /** Returns false while the local configuration may be older than an acknowledged one. */
   isRecent: () => boolean;
   getCluster: () => Omit<ClusterUpdate, 'entries'>;
+  dataCentre: string;
 }
 
 interface Subscriber extends Subscription {
   link: Link;
+  /** Monotonic time since which its configuration is not the latest one. */
+  behindSince: number | undefined;
 }
 
 /** Time limit in milliseconds for subscribers to confirm a changed upstream. */
 const CONFIRM_TIMEOUT_MS = 600;
 
-/** Publishes configuration, upstream and cluster changes to entry and control processes. */
+/**
+ * Milliseconds for which a configuration is left to the control process in the data centre of an
+ * entry process, before the others send it as well.
+ */
+const REMOTE_DELAY_MS = 250;
+/** Number of refreshes after which entry processes in other data centres get one. */
+const REMOTE_REFRESH_INTERVAL = 4;
+/** Milliseconds for which changes of the number of entry processes are collected. */
+const CLUSTER_DELAY_MS = 100;
+
+/**
+ * Publishes configuration, upstream and cluster changes to entry and control processes. All control
+ * processes know the same, so what is large and not urgent is left to the one in the same data centre,
+ * and comes from the others only if that one fails.
+ */
 export class UpdatePublisher {
   private readonly subscribers = new Set<Subscriber>();
 
+  private refreshCount = 0;
+
+  private clusterTimer: NodeJS.Timeout | undefined;
+
   private deflated: { version: number; bytes: Uint8Array } | undefined;
 
   constructor(private readonly options: UpdatePublisherOptions) {}
 
   /** Adds a subscriber and sends it the current state. */
   addSubscriber(subscription: Subscription, link: Link): void {
-    const subscriber = { ...subscription, link };
+    const subscriber: Subscriber = { ...subscription, link, behindSince: undefined };
     this.subscribers.add(subscriber);
+    link.subscribe(({ method, body }) => {
+      if (method === METHODS.applied)
+        recordVersion(subscriber, (body as AppliedConfiguration).version);
+    });
     link.closed.then(() => {
       this.subscribers.delete(subscriber);
-      this.pushCluster();
+      this.pushClusterSoon();
     });
     link.notify(METHODS.upstreams, {
       records: this.options.table.getRecords().map(this.toAgedAnnouncement),
@@ -46,7 +76,8 @@
     // Before the configuration, without which an entry process serves no requests.
     link.notify(METHODS.findings, this.options.findings.getAll());
     this.pushConfigurationTo(subscriber);
-    this.pushCluster();
+    this.pushClusterTo([subscriber]);
+    this.pushClusterSoon();
   }
 
   /** Number of entry processes that are subscribed. */
@@ -65,10 +96,17 @@
     this.subscribers.forEach(({ link }) => link.notify(METHODS.upstreams, body));
   }
 
-  /** Sends all upstreams to the entry processes, which remove those they have not heard of for long. */
+  /**
+   * Sends all upstreams to the entry processes, which remove those they have not heard of for long.
+   * Those in other data centres get them less often.
+   */
   refreshUpstreams(): void {
     const body = { records: this.options.table.getRecords().map(this.toAgedAnnouncement) };
-    this.getEntrySubscribers().forEach(({ link }) => link.notify(METHODS.upstreams, body));
+    this.refreshCount += 1;
+    const includesRemote = this.refreshCount % REMOTE_REFRESH_INTERVAL === 0;
+    this.getEntrySubscribers()
+      .filter((subscriber) => includesRemote || this.isNear(subscriber))
+      .forEach(({ link }) => link.notify(METHODS.upstreams, body));
   }
 
   /** Sends findings to all subscribers but the one that they came from. */
@@ -97,8 +135,35 @@
 
   /** Sends the cluster members and the number of entry processes to all subscribers. */
   pushCluster(): void {
+    this.pushClusterTo([...this.subscribers]);
+  }
+
+  /** Sends what several subscribers that come or leave change once to all. */
+  private pushClusterSoon(): void {
+    if (this.clusterTimer) return;
+    this.clusterTimer = setTimeout(() => {
+      this.clusterTimer = undefined;
+      this.pushCluster();
+    }, CLUSTER_DELAY_MS).unref();
+  }
+
+  private pushClusterTo(subscribers: Subscriber[]): void {
     const body: ClusterUpdate = { ...this.options.getCluster(), entries: this.entryCount };
-    this.subscribers.forEach(({ link }) => link.notify(METHODS.cluster, body));
+    subscribers.forEach(({ link }) => link.notify(METHODS.cluster, body));
+  }
+
+  private isNear({ dataCentre }: Subscriber): boolean {
+    return dataCentre === undefined || dataCentre === this.options.dataCentre;
+  }
+
+  /** Returns true if a subscriber is to be left to the control process of its data centre. */
+  private isServedByOther(subscriber: Subscriber): boolean {
+    // A process that starts serves nothing before it has a configuration.
+    if (this.isNear(subscriber) || subscriber.version === 0) return false;
+    const now = this.options.now();
+    const { behindSince = now } = subscriber;
+    Object.assign(subscriber, { behindSince });
+    return now - behindSince < REMOTE_DELAY_MS;
   }
 
   private readonly toAgedAnnouncement = (record: UpstreamRecord): AgedAnnouncement => {
@@ -116,14 +181,19 @@
       !current ||
       !this.options.isRecent() ||
       subscriber.kind !== 'entry' ||
-      subscriber.version >= current.version
+      subscriber.version >= current.version ||
+      this.isServedByOther(subscriber)
     )
       return;
     if (this.deflated?.version !== current.version)
       this.deflated = { version: current.version, bytes: deflateRawSync(current.document) };
     const { bytes: deflated } = this.deflated;
     subscriber.link.notify(METHODS.configuration, { version: current.version, deflated });
-    // eslint-disable-next-line no-param-reassign -- The publisher owns its subscribers.
-    subscriber.version = current.version;
+    recordVersion(subscriber, current.version);
   }
 }
+
+/** Records that a subscriber has a version of the configuration, or will have it. */
+function recordVersion(subscriber: Subscriber, version: number): void {
+  if (version > subscriber.version) Object.assign(subscriber, { version, behindSince: undefined });
+}
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -23,6 +23,7 @@
   findings: 'findings',
   permit: 'permit',
   sent: 'sent',
+  applied: 'applied',
 } as const;
 
 /** Response of a control process to one that is looking for its cluster. */
@@ -52,6 +53,13 @@
   vm: string;
   /** Version of the subscriber's configuration; 0 for none. */
   version: number;
+  /** Data centre of the subscriber; processes of earlier versions do not name it. */
+  dataCentre?: string;
+}
+
+/** Tells control processes which version of the configuration an entry process has activated. */
+export interface AppliedConfiguration {
+  version: number;
 }
 
 /**
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -3,6 +3,7 @@
 import { LinkPool } from '../control/LinkPool.js';
 import { METHODS } from '../control/messages.js';
 import type {
+  AppliedConfiguration,
   ClusterUpdate,
   ConfigurationUpdate,
   Subscription,
@@ -62,7 +63,8 @@
   private subscribe(link: Link): void {
     const { view, settings } = this.options;
     link.subscribe(({ method, body }) => this.handleNotification(method, body));
-    const subscription: Subscription = { kind: 'entry', vm: settings.vm, version: view.version };
+    const { vm, dataCentre } = settings;
+    const subscription: Subscription = { kind: 'entry', vm, version: view.version, dataCentre };
     // After a failure the link is closed; the pool reconnects, which subscribes again.
     link.call(METHODS.subscribe, subscription, SUBSCRIBE_TIMEOUT_MS).catch(() => link.close());
     // The control process may have restarted, or was cut off from others that know them.
@@ -92,7 +94,7 @@
     try {
       if (method === METHODS.upstreams) view.mergeUpstreams(body as UpstreamUpdate);
       else if (method === METHODS.configuration)
-        view.updateConfiguration(body as ConfigurationUpdate);
+        this.updateConfiguration(body as ConfigurationUpdate);
       else if (method === METHODS.findings) view.findings.merge(body as FindingsUpdate);
       else if (method === METHODS.cluster) this.updateCluster(body as ClusterUpdate);
     } catch (error) {
@@ -100,6 +102,17 @@
     }
   }
 
+  /** Activates a configuration and tells all control processes, so that they need not send it. */
+  private updateConfiguration(update: ConfigurationUpdate): void {
+    const { view } = this.options;
+    const { version } = view;
+    view.updateConfiguration(update);
+    if (view.version === version) return;
+    const applied: AppliedConfiguration = { version: view.version };
+    for (const address of this.linkPool.getAddresses())
+      this.linkPool.getLink(address).current?.notify(METHODS.applied, applied);
+  }
+
   private updateCluster(update: ClusterUpdate): void {
     this.options.view.updateCluster(update);
     this.updateLinks();
--- a/packages/gateway/tests/control/cluster.test.ts
+++ b/packages/gateway/tests/control/cluster.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Announcement } from '@azurecart/discovery';
 import { METHODS } from '../../src/control/messages.js';
 import type { UpstreamUpdate } from '../../src/control/messages.js';
@@ -93,9 +94,7 @@
     link.subscribe(({ method }) => seen.push(method));
     await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version: 0 }, 1000);
     // Several intervals of 60 ms at which the configuration is pushed.
-    await new Promise((resolve) => {
-      setTimeout(resolve, 300);
-    });
+    await sleep(300);
     link.close();
     assert.ok(seen.includes(METHODS.cluster));
     assert.ok(!seen.includes(METHODS.configuration));
@@ -174,6 +173,53 @@
     assert.ok(await cluster.trySubmit(9));
   }));
 
+/** Counts the configurations that a subscriber with version 1 in a data centre is sent. */
+async function countConfigurations(
+  cluster: ControlCluster,
+  dataCentre: string,
+  waitMs: number,
+  appliedVersion?: number,
+): Promise<number> {
+  const socket = connect({ host: '127.0.9.2', port: cluster.linkPort });
+  const link = new Link({ socket, handlers: new Map() });
+  let count = 0;
+  link.subscribe(({ method }) => {
+    if (method === METHODS.configuration) count += 1;
+  });
+  await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version: 1, dataCentre }, 1000);
+  if (appliedVersion !== undefined) link.notify(METHODS.applied, { version: appliedVersion });
+  await sleep(waitMs);
+  link.close();
+  return count;
+}
+
+// Guards against every control process sending each configuration to every entry process.
+test('a configuration comes from the data centre of its subscriber, and else from another one', () =>
+  withCluster(async (cluster) => {
+    await cluster.waitFor(() => cluster.trySubmit(7));
+    await cluster.waitFor(async () => (await cluster.read(2)) === 7);
+    // The nodes are in data centre `d`; the others wait for 250 ms.
+    assert.equal(await countConfigurations(cluster, 'd', 150), 1);
+    assert.equal(await countConfigurations(cluster, 'x', 150), 0);
+    assert.equal(await countConfigurations(cluster, 'x', 800), 1);
+    assert.equal(await countConfigurations(cluster, 'x', 800, 7), 0);
+  }));
+
+// Guards against messages whose number grows with the square of that of the entry processes.
+test('subscribers that come together change the number of entry processes once', () =>
+  withCluster(async (cluster) => {
+    const { link } = await subscribe(cluster, 2);
+    let updates = 0;
+    link.subscribe(({ method }) => {
+      if (method === METHODS.cluster) updates += 1;
+    });
+    const others = await Promise.all(Array.from({ length: 20 }, () => subscribe(cluster, 2)));
+    await sleep(300);
+    others.forEach((other) => other.link.close());
+    assert.ok(updates >= 1 && updates <= 6, `${updates} updates`);
+    link.close();
+  }));
+
 const UPSTREAM: Announcement = {
   id: 'u',
   bornAt: 1000,
