Never refuse a stream that has begun for want of a turn; forget old arrivals

The test fails without the mark.

SpareCapacity kept all arrivals of a process until the next wave; both lists are now cut with each entry.

--- a/packages/gateway/src/entry/Placement.ts
+++ b/packages/gateway/src/entry/Placement.ts
@@ -15,6 +15,8 @@
   remainingMs: number;
   /** Milliseconds until the client leaves unless an event arrives; undefined if not known. */
   patienceMs?: number;
+  /** True if the client has received a part of the stream. */
+  isResumption?: boolean;
   /** Milliseconds since the request arrived. */
   waitedMs: number;
   priority: number;
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -219,6 +219,7 @@
       maxOutputTokens: metadata.maxOutputTokens ?? 0,
       remainingMs: this.remainingMs,
       patienceMs: this.patienceMs,
+      isResumption: this.firstEventMs !== undefined,
       waitedMs: this.exchange.elapsedMs,
       priority: this.priority,
       customer: this.customerName,
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -270,6 +270,7 @@
       pauseMs: request.route.pauseMs,
       remainingMs: request.remainingMs,
       patienceMs: request.patienceMs,
+      isResumption: request.isResumption,
       waitedMs: request.waitedMs,
       excluded: [...request.excluded, ...paused.map(({ id: upstream }) => upstream)],
       parts: request.parts,
--- a/packages/scheduling/src/engines/EngineJob.ts
+++ b/packages/scheduling/src/engines/EngineJob.ts
@@ -23,6 +23,8 @@
   patienceMs?: number;
   /** Milliseconds since the request arrived. */
   waitedMs: number;
+  /** True if the client has received a part of the answer, which another engine is to finish. */
+  isResumption?: boolean;
   /** Ids of engines on which the request has failed. */
   excluded: string[];
   /** Parts of the prompt that other prompts may contain as well. */
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -324,9 +324,11 @@
 
   /**
    * Returns true when a short prompt can no longer be on time, and those that can will leave it no
-   * turn before its client leaves. The prompts that wait behind it are not counted.
+   * turn before its client leaves. The prompts that wait behind it are not counted. A stream that
+   * has begun is not given up before that.
    */
   private hasNoTurn(waiting: WaitingJob, now: number): boolean {
+    if (waiting.job.isResumption) return false;
     // The limits themselves tell more than what was placed lately.
     if (this.totalLimit < Infinity || this.order.canBeOnTime(waiting, now)) return false;
     const { priority } = waiting.job;
--- a/packages/scheduling/src/engines/SpareCapacity.ts
+++ b/packages/scheduling/src/engines/SpareCapacity.ts
@@ -12,17 +12,19 @@
  * placements shows what slots, passes and limits of the engines allow together.
  */
 export class SpareCapacity {
-  private arrivals: { at: number; priority: number }[] = [];
+  private readonly arrivals: { at: number; priority: number }[] = [];
 
-  private placements: number[] = [];
+  private readonly placements: number[] = [];
 
   constructor(private readonly options: SpareCapacityOptions) {}
 
   recordArrival(priority: number): void {
+    this.removeExpired();
     this.arrivals.push({ at: this.options.now(), priority });
   }
 
   recordPlacement(): void {
+    this.removeExpired();
     this.placements.push(this.options.now());
   }
 
@@ -31,11 +33,15 @@
    * are as urgent.
    */
   getWaitMs(count: number, priority: number): number {
-    const since = this.options.now() - WINDOW_MS;
-    this.arrivals = this.arrivals.filter(({ at }) => at > since);
-    this.placements = this.placements.filter((at) => at > since);
+    this.removeExpired();
     const ahead = this.arrivals.filter((arrival) => arrival.priority <= priority).length;
     const spare = Math.max(0, this.placements.length - ahead);
     return (count * WINDOW_MS) / spare;
   }
+
+  private removeExpired(): void {
+    const since = this.options.now() - WINDOW_MS;
+    while (this.arrivals[0] && this.arrivals[0].at <= since) this.arrivals.shift();
+    while (this.placements[0] !== undefined && this.placements[0] <= since) this.placements.shift();
+  }
 }
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -288,6 +288,17 @@
   assert.ok(decision?.kind === 'refused' && decision.retryAfterMs >= 1000);
 });
 
+// Guards against a stream that is cut because other prompts wait at the moment at which it breaks off.
+test('a stream that has begun is not refused for want of a turn', () => {
+  const { scheduler, clock, decided } = createScheduler(1);
+  fillEngine(scheduler, 's');
+  const fields = { waitedMs: 1500, patienceMs: 1900, isResumption: true };
+  assert.equal(scheduler.place(createJob('r', fields)).kind, 'queued');
+  clock.now = 500;
+  scheduler.release('s0');
+  assert.equal(decided.get('r')?.kind, 'placed');
+});
+
 // Guards against long prompts that never find an idle engine beside many short ones.
 test('short prompts leave an engine to a long one that must start soon', () => {
   const { scheduler, clock, decided } = createScheduler(2);
