--- a/packages/scheduling/tests/engines/overloadByRate.test.ts
+++ b/packages/scheduling/tests/engines/overloadByRate.test.ts
@@ -77,3 +77,9 @@
   assert.ok(result.worstWindow > baseline.worstWindow);
   assert.ok(Math.min(...result.byKind.values()) > Math.min(...baseline.byKind.values()));
 });
+
+// Guards against a wave of which one stretch is served late although the whole looks well.
+test('no window of a wave beyond the limits falls below the target', () => {
+  const { worstWindow } = new OverloadByRate().run(createScheduler);
+  assert.ok(worstWindow >= 0.6, `${worstWindow} of a window on time`);
+});
