--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # compile. This only checks that they can be parsed.
 set -eu
 cd "$(dirname "${BASH_SOURCE[0]}")"
-for file in harness.mjs */case.mjs; do
+for file in harness.mjs usual.mjs */case.mjs; do
   node --check "$file"
 done
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -441,6 +441,25 @@
     Resumable: true,
     TargetItlMs: 250,
   });
+  config.Routes.push({
+    ...config.Routes.at(-1),
+    Name: 'review',
+    PathPrefix: '/review/',
+    TargetLatencyMs: 1500,
+    TargetItlMs: 600,
+    Priority: 1,
+  });
+  // The longest prompts. Not resumable, so its requests count as non-idempotent.
+  config.Routes.push({
+    ...config.Routes.at(-1),
+    Name: 'digest',
+    PathPrefix: '/digest/',
+    TimeoutMs: 15_000,
+    TargetLatencyMs: 6000,
+    TargetItlMs: 1000,
+    Priority: 2,
+    Resumable: false,
+  });
   config.Services.push({
     Name: 'assistant',
     HealthPath: '/healthz',
