Remove hop-by-hop headers before the gateway adds its own

Cause: UpstreamAttempt removed the names that the client's Connection header lists from the joined list, after the customer, the expected instance and the deadline had been added to it. The key was resolved and the upstream dropped nothing: with the same key and a plain `Connection: close` the header arrives.

Change: getEndToEndHeaders is applied to what was received. A Connection header removes neither what the platform defines for the recipient of a message (EntryProtocol.endToEndHeaders) nor Host and Content-*; so an upstream cannot remove its signature from an answer either. The metadata goes before the client's headers, as a limit on headers at the upstream cuts off the last ones.

--- a/packages/gateway/src/entry/EntryProtocol.ts
+++ b/packages/gateway/src/entry/EntryProtocol.ts
@@ -79,12 +79,21 @@
 export interface EntryProtocol {
   /** Parses the headers of a client's request. */
   parseRequestHeaders(headers: IncomingHttpHeaders): RequestMetadata;
-  /** Builds the headers for the upstream: the client's, with reserved ones replaced by metadata. */
-  buildRequestHeaders(rawHeaders: string[], metadata: UpstreamRequestMetadata): [string, string][];
+  /**
+   * Builds the headers for the upstream: the metadata, then the client's without reserved ones. The
+   * metadata comes first, so that a limit of the upstream on headers cuts off those of the client.
+   * @param clientHeaders - The end-to-end headers of the client's request.
+   */
+  buildRequestHeaders(
+    clientHeaders: [string, string][],
+    metadata: UpstreamRequestMetadata,
+  ): [string, string][];
   /** Parses the status and headers of an upstream's response. */
   parseResponse(status: number, headers: IncomingHttpHeaders): ResponseMetadata;
   /** Builds the HTTP request for a command. */
   buildCommandRequest(upstreamId: string, command: EngineCommand): EngineCommandRequest;
+  /** Lower-case names of headers that a `Connection` header does not make hop-by-hop. */
+  readonly endToEndHeaders: ReadonlySet<string>;
   /** Path of the load balancer's readiness check. */
   readonly readinessPath: string;
 }
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -83,7 +83,10 @@
   private createCall(): UpstreamCall {
     const { protocol, agent, context, upstream, helpers } = this.options;
     const { request } = context.exchange;
-    const headers = protocol.buildRequestHeaders(request.rawHeaders, {
+    // The headers that this process sets are added afterwards: the client's `Connection` header
+    // must not remove them.
+    const clientHeaders = getEndToEndHeaders(request.rawHeaders, protocol.endToEndHeaders);
+    const headers = protocol.buildRequestHeaders(clientHeaders, {
       upstreamId: upstream.id,
       customer: context.customerName,
       remainingMs: Math.max(1, Math.floor(context.remainingMs)),
@@ -95,7 +98,7 @@
       address: upstream.address,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: getEndToEndHeaders(headers.flat()),
+      headers,
       body: context.body,
       agent: this.mayReuseConnection() ? agent : undefined,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -158,7 +161,7 @@
     response: IncomingMessage,
     call: UpstreamCall,
   ): Promise<AttemptOutcome> {
-    const { health, context, upstream } = this.options;
+    const { health, context, upstream, protocol } = this.options;
     const status = response.statusCode ?? 0;
     const body = await readBufferedBody(response, call);
     // The body was truncated or exceeds the limit of the buffer; the reason covers both.
@@ -166,7 +169,11 @@
       if (!context.signal.aborted) health.recordErrorResponse(upstream.id);
       return { kind: 'unknown', reason: 'answer cut short' };
     }
-    const buffered = { status, headers: getEndToEndHeaders(response.rawHeaders), body };
+    const buffered = {
+      status,
+      headers: getEndToEndHeaders(response.rawHeaders, protocol.endToEndHeaders),
+      body,
+    };
     if (status >= 500) {
       health.recordErrorResponse(upstream.id);
       // To the client a 503 means that the request was not executed, which is not certain here.
@@ -194,7 +201,7 @@
     response: IncomingMessage,
     call: UpstreamCall,
   ): Promise<AttemptOutcome> {
-    const { health, context, upstream, handle, timeouts } = this.options;
+    const { protocol, health, context, upstream, handle, timeouts } = this.options;
     const { exchange } = context;
     if (exchange.response.headersSent && !this.isContinuation(response)) {
       response.destroy();
@@ -209,7 +216,8 @@
       if (exchange.response.headersSent) return;
       context.streamType = getMediaType(response);
       // Another upstream may finish the stream with a different number of bytes.
-      const headers = getEndToEndHeaders(response.rawHeaders).filter(
+      const { rawHeaders } = response;
+      const headers = getEndToEndHeaders(rawHeaders, protocol.endToEndHeaders).filter(
         ([name]) => name.toLowerCase() !== 'content-length',
       );
       exchange.writeHead(response.statusCode ?? SUCCESS, headers);
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -31,6 +31,7 @@
  */
 export const protocol: EntryProtocol = {
   readinessPath: '/ready',
+  endToEndHeaders: new Set(['attempt', 'signed', 'model']),
   parseRequestHeaders: (headers) => ({
     clientAttemptId: String(headers.attempt),
     deadlineMs: Number(headers.deadline ?? 2000),
@@ -40,16 +41,15 @@
     lastEventId: headers.last as string | undefined,
     sharedParts: headers.parts === undefined ? [] : String(headers.parts).split(','),
   }),
-  buildRequestHeaders: (raw: string[], metadata: UpstreamRequestMetadata) => {
-    const pairs: [string, string][] = [];
-    for (let index = 0; index < raw.length; index += 2) {
-      const name = raw[index] ?? '';
-      if (!['key', 'last', 'deadline'].includes(name)) pairs.push([name, raw[index + 1] ?? '']);
-    }
-    pairs.push(['customer', metadata.customer ?? ''], ['expected', metadata.upstreamId]);
-    pairs.push(['deadline', String(metadata.remainingMs)]);
+  buildRequestHeaders: (clientHeaders, metadata: UpstreamRequestMetadata) => {
+    const pairs: [string, string][] = [
+      ['customer', metadata.customer ?? ''],
+      ['expected', metadata.upstreamId],
+      ['deadline', String(metadata.remainingMs)],
+    ];
     if (metadata.lastEventId !== undefined) pairs.push(['last', metadata.lastEventId]);
-    return pairs;
+    const reserved = ['key', 'last', 'deadline', 'customer', 'expected'];
+    return [...pairs, ...clientHeaders.filter(([name]) => !reserved.includes(name.toLowerCase()))];
   },
   buildCommandRequest: (upstreamId, command) => ({
     method: 'POST',
