Read all headers of a message, not only the first thousand

What callers would see: a request with more than a thousand small headers loses those after them, and an answer whose signature comes after them counts as unsigned (502).

Cause: Node.js ignores headers beyond a number without saying so, on servers and clients alike.

Change: no limit on the number; 16 KiB in all and MAX_HEAD_BYTES bound it as before.

Evidence: the test 'a header after a thousand others ...' failed before this fix with 502, "answer without signature, or encoded", and passes now.

--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -87,6 +87,8 @@
     // here at shutdown. Node's default limit for receiving the headers (60 s) still applies.
     this.clientServer.requestTimeout = 0;
     this.clientServer.keepAliveTimeout = 0;
+    // Node.js ignores headers beyond a number silently; its limit on their size still applies.
+    this.clientServer.maxHeadersCount = 0;
     this.monitoringServer = createServer((request, response) =>
       this.handleMonitoringRequest(request, response),
     );
--- a/packages/gateway/src/upstreams/UpstreamCall.ts
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -121,7 +121,7 @@
   private open(): ClientRequest {
     const { options } = this;
     try {
-      return openRequest({
+      const request = openRequest({
         ...parseAddress(options.address),
         method: options.method,
         path: options.path,
@@ -129,6 +129,9 @@
         agent: options.agent ?? false,
         setHost: false,
       });
+      // Node.js ignores further headers silently; `MAX_HEAD_BYTES` bounds their number instead.
+      request.maxHeadersCount = 0;
+      return request;
     } catch (error) {
       throw new UpstreamError(String(error), true);
     }
--- a/packages/gateway/tests/entry/connectionHeader.test.ts
+++ b/packages/gateway/tests/entry/connectionHeader.test.ts
@@ -11,6 +11,8 @@
 const EVENT_STREAM = 'content-type: text/event-stream';
 /** Headers of the request that this process sets or must pass on as the client sent them. */
 const REQUEST_HEADERS = 'customer, expected, deadline, attempt, model, host, content-length';
+/** Node.js reads so many headers of a message by default. */
+const DEFAULT_HEADER_COUNT = 1000;
 
 const succeeding: Script = (socket, request) =>
   socket.write(formatResponse(request, '200 OK', 'fine'));
@@ -86,3 +88,18 @@
   for (const name of ['customer', 'expected', 'deadline'])
     assert.ok(text.indexOf(`\r\n${name}: `) < text.indexOf('\r\nfirst: '), name);
 });
+
+// Guards against headers that Node.js drops beyond its default number of them.
+test('a header after a thousand others is neither lost in a request nor in a response', async () => {
+  const filler = Array.from({ length: DEFAULT_HEADER_COUNT }, (_, index) => `f${index}`);
+  const script: Script = (socket, request) => {
+    const headers = [...filler.map((name) => `${name}: 1`), 'signed: yes'];
+    socket.write(formatResponse(request, '200 OK', 'fine', headers));
+  };
+  const { response, request } = await exchange(script, {
+    ...Object.fromEntries(filler.map((name) => [name, '1'])),
+    model: 'm',
+  });
+  assert.deepEqual([response.status, response.body], [200, 'fine']);
+  assert.equal(request.get('model'), 'm');
+});
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -162,6 +162,7 @@
   const server = createServer((request, response) => {
     handler.run(new Exchange(request, response, () => false), routing);
   });
+  server.maxHeadersCount = 0;
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
