Give up a stalled attempt only for a place that is reserved

Cause: an attempt was aborted as soon as it stalled and the retry budget granted a retry. Whether another upstream could go on was found out only afterwards, with the one at work excluded. Neither the shutdown (5 s of grace were left) nor the runner (it saw its connection closed) ended the streams.

The attempt is aborted once the place is certain; if it makes progress before, the search ends and the place and the retry are given back; if there is no place, the search is repeated after the same time. AttemptPreparer serves first attempts and handovers alike. A counter and a log line tell stalls with and without another place apart.

--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -21,6 +21,8 @@
 
   private readonly predictionRatios: Histogram;
 
+  private readonly handovers: Counter;
+
   constructor(registry: Registry, view: ClusterView, getOpenRequestCount: () => number) {
     const registers = [registry];
     this.requests = new Counter({
@@ -49,6 +51,12 @@
       buckets: PREDICTION_RATIO_BUCKETS,
       registers,
     });
+    this.handovers = new Counter({
+      name: 'azurecart_gateway_handovers_total',
+      help: 'Stalled attempts by whether another place was reserved for them',
+      labelNames: ['place'],
+      registers,
+    });
     addGauge(registry, 'configuration_version', 'Version in force', () => view.version);
     addGauge(registry, 'open_requests', 'Requests in work', getOpenRequestCount);
     addGauge(
@@ -75,6 +83,11 @@
     this.predictionRatios.observe(observedMs / Math.max(1, expectedMs));
   }
 
+  /** Records the search for another place for a stalled attempt. */
+  recordHandover(place: 'reserved' | 'none'): void {
+    this.handovers.inc({ place });
+  }
+
   recordFirstEvent(priority: number, elapsedMs: number): void {
     this.firstEvents.observe({ priority: String(priority) }, elapsedMs / MS_PER_SECOND);
   }
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -31,9 +31,6 @@
   /** Aborted when the client disconnects, the deadline passes, or by `abort`. */
   readonly signal: AbortSignal;
 
-  /** Resolves when `signal` is aborted. */
-  readonly aborted: Promise<undefined>;
-
   /** Id of the last event of the stream that the client has received. */
   lastEventId: string | undefined;
 
@@ -66,8 +63,6 @@
 
   private attemptCount = 0;
 
-  private hasRetryToken = false;
-
   constructor(private readonly options: RequestContextOptions) {
     const { exchange, metadata, route } = options;
     this.deadlineAt =
@@ -78,9 +73,6 @@
       Math.max(0, this.remainingMs),
     );
     this.signal = AbortSignal.any([this.abortController.signal, exchange.disconnectSignal]);
-    this.aborted = new Promise((resolve) => {
-      this.signal.addEventListener('abort', () => resolve(undefined), { once: true });
-    });
   }
 
   get exchange(): Exchange {
@@ -135,6 +127,11 @@
     return Math.max(0, lastHeardAt + patienceMs - performance.now());
   }
 
+  /** Milliseconds since the last event arrived; infinite before the first one. */
+  get quietMs(): number {
+    return this.previousEventAt === 0 ? Infinity : performance.now() - this.previousEventAt;
+  }
+
   /** Number of upstreams that may have executed the request. */
   get runs(): number {
     return this.runCount;
@@ -164,18 +161,6 @@
     this.attemptCount += 1;
   }
 
-  /** Stores a retry that was taken from the budget in advance. */
-  storeRetryToken(): void {
-    this.hasRetryToken = true;
-  }
-
-  /** Uses the stored retry; false if there is none. */
-  consumeRetryToken(): boolean {
-    const { hasRetryToken: hasRetry } = this;
-    this.hasRetryToken = false;
-    return hasRetry;
-  }
-
   /** Excludes an upstream from further placements of the request. */
   exclude(upstreamId: string): void {
     this.excluded.add(upstreamId);
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -1,10 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { UpstreamRecord } from '@azurecart/discovery';
+import { Handover } from '@azurecart/scheduling';
 import type { JobEnding } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Route, RoutingTable } from '../configuration/index.js';
 import type { UpstreamAgent } from '../upstreams/index.js';
 import type { AttemptOutcome } from './AttemptOutcome.js';
+import { AttemptPreparer } from './AttemptPreparer.js';
 import type { Findings } from '../findings/index.js';
 import { BodyTooLargeError } from './BodyTooLargeError.js';
 import { ClientDisconnectedError } from './ClientDisconnectedError.js';
@@ -14,8 +16,9 @@
 import type { ProcessLifetime } from './ProcessLifetime.js';
 import { RequestContext } from './RequestContext.js';
 import { getAttemptTimeouts } from './AttemptTimeouts.js';
-import { MemoryReservationGroup, LivenessMonitor, EngineCommandClient } from './memory/index.js';
+import { LivenessMonitor, EngineCommandClient } from './memory/index.js';
 import type { PlacedHelper, Placer, PlacementHandle } from './Placement.js';
+import { PreparedAttempt } from './PreparedAttempt.js';
 import type { RetryBudgetShare } from './RetryBudgetShare.js';
 import { RouteDurations } from './RouteDurations.js';
 import { UpstreamAttempt } from './UpstreamAttempt.js';
@@ -42,6 +45,13 @@
 /** An outcome that leaves the client without a complete response. */
 type IncompleteOutcome = Exclude<AttemptOutcome, { kind: 'done' }>;
 
+/** The end of an attempt. */
+interface AttemptEnd {
+  outcome: AttemptOutcome;
+  /** The attempt that takes the request over, with a retry taken from the budget. */
+  successor?: PreparedAttempt;
+}
+
 /**
  * Attempts allowed beyond `maxAttempts`, for those that certainly did not execute the request: the
  * upstream states so, the connection was not established, or a helper did not grant memory.
@@ -65,6 +75,8 @@
 export class RequestHandler {
   private readonly commandClient: EngineCommandClient;
 
+  private readonly preparer: AttemptPreparer;
+
   private readonly durations = new RouteDurations();
 
   private readonly crashDetector = new CrashDetector();
@@ -72,8 +84,10 @@
   private readonly openContexts = new Set<RequestContext>();
 
   constructor(private readonly options: RequestHandlerOptions) {
-    const { protocol, agent, statements, logger } = options;
+    const { protocol, placer, agent, statements, logger } = options;
     this.commandClient = new EngineCommandClient({ protocol, agent, statements, logger });
+    const { commandClient } = this;
+    this.preparer = new AttemptPreparer({ placer, statements, commandClient, logger });
   }
 
   /** Handles one request; never rejects. */
@@ -161,8 +175,9 @@
   }
 
   private async runAttempts(context: RequestContext): Promise<AttemptOutcome> {
+    let prepared: PreparedAttempt | undefined;
     for (;;) {
-      const outcome = await this.runAttempt(context);
+      const { outcome, successor } = await this.runAttempt(context, prepared);
       if (outcome.kind === 'done' || context.exchange.disconnectSignal.aborted) return outcome;
       // Includes refusals of the placer, where no request was sent.
       this.options.logger.info(
@@ -179,10 +194,11 @@
         },
         'attempt or placement failed',
       );
-      if (!this.mayRetry(context, outcome)) {
+      if (!successor && !this.mayRetry(context, outcome)) {
         sendFinalResponse(context, outcome);
         return outcome;
       }
+      prepared = successor;
     }
   }
 
@@ -192,88 +208,97 @@
     if (context.runs > 0 && !context.isRetryable) return false;
     if (context.runs >= maxAttempts || context.attempts >= maxAttempts + EXTRA_ATTEMPTS)
       return false;
-    return context.consumeRetryToken() || this.options.getRetryBudget(context.service).takeRetry();
+    return this.options.getRetryBudget(context.service).takeRetry();
   }
 
-  /**
-   * Takes a retry from the budget before a stalled attempt is aborted, so that none is aborted
-   * while the budget is exhausted. `mayRetry` can still refuse the retry for another reason.
-   */
-  private reserveRetry(context: RequestContext): boolean {
-    const isGranted = this.options.getRetryBudget(context.service).takeRetry();
-    if (isGranted) context.storeRetryToken();
-    return isGranted;
+  /** Creates the handover of an attempt to another upstream, which costs one retry. */
+  private createHandover(
+    context: RequestContext,
+    onReserved: () => void,
+  ): Handover<PreparedAttempt> {
+    const { getRetryBudget, metrics, logger } = this.options;
+    const budget = getRetryBudget(context.service);
+    const reserve = async (search: AbortSignal): Promise<PreparedAttempt | undefined> => {
+      if (!budget.takeRetry()) return undefined;
+      const signal = AbortSignal.any([search, context.signal]);
+      const prepared = await this.preparer.prepare(context, signal).catch((error: unknown) => {
+        logger.error({ err: error }, 'search for another upstream failed');
+        return { reason: String(error) };
+      });
+      const isReserved = prepared instanceof PreparedAttempt;
+      metrics.recordHandover(isReserved ? 'reserved' : 'none');
+      logger.info(
+        {
+          request: context.clientAttemptId,
+          upstream: context.lastPlacement?.upstream,
+          successor: isReserved ? prepared.options.upstream.id : undefined,
+          reason: isReserved ? undefined : prepared.reason,
+          quietMs: roundMs(context.quietMs),
+        },
+        'attempt stalls',
+      );
+      if (isReserved) return prepared;
+      budget.returnRetry();
+      return undefined;
+    };
+    const release = (prepared: PreparedAttempt): void => {
+      prepared.release();
+      budget.returnRetry();
+    };
+    return new Handover({ reserve, release, onReserved });
   }
 
-  private async runAttempt(context: RequestContext): Promise<AttemptOutcome> {
-    const { placer, protocol, health, statements, agent } = this.options;
-    const request = context.getPlacementRequest();
-    const placement = await placer.place(request, context.signal);
-    if (placement.kind === 'refused') return placement;
-    const { upstream, helpers, jobId, expectedMs, isScheduled = false } = placement;
+  private async runAttempt(
+    context: RequestContext,
+    successor: PreparedAttempt | undefined,
+  ): Promise<AttemptEnd> {
+    const prepared = successor ?? (await this.preparer.prepare(context, context.signal));
+    if (!(prepared instanceof PreparedAttempt)) return { outcome: prepared };
+    const { upstream, helpers, handle, memory, expectedMs, isScheduled } = prepared.options;
     context.recordPlacement({
       upstream: upstream.id,
       helpers: helpers.length,
       isScheduled,
       expectedMs,
     });
-    const handle = placer.track(request, upstream, jobId);
-    const memory = context.signal.aborted
-      ? undefined
-      : await this.reserveMemory(context, upstream.id, helpers);
-    if (!memory || context.signal.aborted) {
-      handle.release('orderly');
-      const reason = context.signal.aborted
-        ? String(context.signal.reason)
-        : 'engine memory not granted';
-      return { kind: 'notRun', reason };
-    }
-    if (!statements.isOpen(upstream)) {
-      context.recordFailedPlacement(upstream.id);
-      handle.release('orderly');
-      memory.release();
-      return { kind: 'notRun', reason: 'upstream accepts no requests any more' };
-    }
-    const observedHandle = this.observeEvents(context, handle, expectedMs);
-    const unresponsive = new AbortController();
-    const monitor = this.monitorLiveness(memory, upstream, unresponsive);
+    const mayHandOver = canHandOver(context);
+    const abandonment = new AbortController();
+    const handover = this.createHandover(context, () => abandonment.abort());
+    const monitor = this.monitorLiveness(prepared, () => abandonment.abort());
     let ending: JobEnding = 'orderly';
     let faultyHelperId: string | undefined;
     try {
-      const addresses = helpers.map(({ upstream: { address } }) => ({
-        address,
-        ticket: memory.getTicket(address),
-      }));
-      const timeouts = canRetryIfStalled(context)
-        ? getAttemptTimeouts(context.route, expectedMs)
-        : undefined;
-      const attemptOptions = {
+      const { protocol, health, statements, agent } = this.options;
+      const { lastEventId } = context;
+      const sentAt = performance.now();
+      const outcome = await new UpstreamAttempt({
         protocol,
         health,
         statements,
         agent,
         context,
         upstream,
-        helpers: addresses,
-        handle: observedHandle,
-        timeouts,
-        unresponsive: unresponsive.signal,
-        reserveRetry: () => this.reserveRetry(context),
-      };
-      const { lastEventId } = context;
-      const sentAt = performance.now();
-      const outcome = await new UpstreamAttempt(attemptOptions).run();
+        helpers: helpers.map(({ upstream: { address } }) => ({
+          address,
+          ticket: memory.getTicket(address),
+        })),
+        handle: this.observeEvents(context, handle, expectedMs, () => handover.cancel()),
+        timeouts: mayHandOver ? getAttemptTimeouts(context.route, expectedMs) : undefined,
+        abandoned: abandonment.signal,
+        beginHandover: () => handover.begin(),
+      }).run();
       if (!context.signal.aborted) ending = getEnding(outcome);
       if (outcome.kind === 'unknown' && context.lastEventId === lastEventId)
         await this.recordCrash(context, upstream, sentAt);
       if (outcome.kind === 'notRun')
         faultyHelperId = getFaultyHelper(outcome, upstream.id, helpers);
       if (faultyHelperId) context.exclude(faultyHelperId);
-      return outcome;
+      const isOver = outcome.kind === 'done' || context.signal.aborted;
+      return { outcome, successor: isOver ? undefined : handover.take() };
     } finally {
       monitor?.stop();
-      handle.release(ending, faultyHelperId);
-      memory.release();
+      handover.close();
+      prepared.release(ending, faultyHelperId);
     }
   }
 
@@ -300,13 +325,11 @@
 
   /** Monitors the engine to which a prompt was sent, if other engines hold memory for it. */
   private monitorLiveness(
-    memory: MemoryReservationGroup,
-    upstream: UpstreamRecord,
-    unresponsive: AbortController,
+    { options: { memory, upstream } }: PreparedAttempt,
+    onUnresponsive: () => void,
   ): LivenessMonitor | undefined {
     if (memory.isEmpty) return undefined;
     const { commandClient } = this;
-    const onUnresponsive = (): void => unresponsive.abort();
     const monitor = new LivenessMonitor({ upstream, commandClient, onUnresponsive });
     monitor
       .run()
@@ -316,24 +339,6 @@
     return monitor;
   }
 
-  private async reserveMemory(
-    context: RequestContext,
-    upstreamId: string,
-    helpers: PlacedHelper[],
-  ): Promise<MemoryReservationGroup | undefined> {
-    const { logger } = this.options;
-    const acquiring = MemoryReservationGroup.acquire({
-      helpers,
-      commandClient: this.commandClient,
-      logger,
-    });
-    const memory = await Promise.race([acquiring, context.aborted]);
-    // A group that is acquired after the request has been aborted is not used.
-    if (context.signal.aborted) acquiring.then((late) => late?.release()).catch(() => undefined);
-    if (!memory) context.recordFailedPlacement(upstreamId);
-    return memory;
-  }
-
   /**
    * Wraps a handle so that all events of the attempt are recorded in the context. The first one is
    * also reported to the placer and to the metrics.
@@ -342,6 +347,7 @@
     context: RequestContext,
     handle: PlacementHandle,
     expectedMs: number | undefined,
+    onProgress: () => void,
   ): PlacementHandle {
     const { metrics, findings } = this.options;
     const sentAt = performance.now();
@@ -350,6 +356,7 @@
       release: (ending, faultyHelperId) => handle.release(ending, faultyHelperId),
       reportProgress: () => {
         context.recordEvents();
+        onProgress();
         if (hasEvent) return;
         hasEvent = true;
         handle.reportProgress();
@@ -391,8 +398,8 @@
   }
 }
 
-/** True if a request whose upstream stalls may be retried; otherwise no stall timeouts apply. */
-function canRetryIfStalled(context: RequestContext): boolean {
+/** True if a request whose upstream stalls may go on at another one. */
+function canHandOver(context: RequestContext): boolean {
   return context.isRetryable && context.runs + 1 < context.route.maxAttempts;
 }
 
--- a/packages/gateway/src/entry/RetryBudgetShare.ts
+++ b/packages/gateway/src/entry/RetryBudgetShare.ts
@@ -48,4 +48,9 @@
     this.retries.push(this.now());
     return true;
   }
+
+  /** Gives back the last retry taken, which was not made. */
+  returnRetry(): void {
+    this.retries.pop();
+  }
 }
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -27,12 +27,12 @@
   upstream: UpstreamRecord;
   helpers: PrefillHelper[];
   handle: PlacementHandle;
-  /** Timeouts of the upstream; undefined if only the deadline of the request applies. */
+  /** Times after which the attempt counts as stalled; undefined if it cannot be handed over. */
   timeouts: AttemptTimeouts | undefined;
-  /** Aborted when the liveness monitor finds the upstream unresponsive. */
-  unresponsive: AbortSignal;
-  /** Takes a retry from the budget before the attempt is aborted; false if it is exhausted. */
-  reserveRetry: () => boolean;
+  /** Ends the attempt, because another upstream takes the request over or the engine is gone. */
+  abandoned: AbortSignal;
+  /** Searches for another upstream for a stalled attempt; false if there is none. */
+  beginHandover: () => Promise<boolean>;
 }
 
 /** Timeout for establishing a connection to an upstream, in milliseconds. */
@@ -44,22 +44,20 @@
 
 /** One attempt to have a request served by one upstream. */
 export class UpstreamAttempt {
-  private stallTimer = new StallTimer(() => undefined);
+  private readonly stallTimer: StallTimer;
 
-  constructor(private readonly options: UpstreamAttemptOptions) {}
+  constructor(private readonly options: UpstreamAttemptOptions) {
+    this.stallTimer = new StallTimer(options.beginHandover);
+  }
 
   /** Sends the request and relays the response; a failure is returned, so that it can be retried. */
   async run(): Promise<AttemptOutcome> {
-    const { health, context, upstream, timeouts, unresponsive } = this.options;
+    const { health, context, upstream, timeouts, abandoned } = this.options;
     const call = this.createCall();
     const abort = (): void => call.abort();
-    // If no retry is granted, the attempt continues; the timer is restarted only by the next event.
-    this.stallTimer = new StallTimer(() => {
-      if (this.options.reserveRetry()) abort();
-    });
     if (timeouts) this.stallTimer.restart(timeouts.firstResponseMs);
     context.signal.addEventListener('abort', abort);
-    unresponsive.addEventListener('abort', abort);
+    abandoned.addEventListener('abort', abort);
     context.recordSend(upstream.id);
     this.options.statements.recordSend(upstream);
     try {
@@ -75,7 +73,7 @@
     } finally {
       this.stallTimer.stop();
       context.signal.removeEventListener('abort', abort);
-      unresponsive.removeEventListener('abort', abort);
+      abandoned.removeEventListener('abort', abort);
       if (context.signal.aborted) call.abort();
     }
   }
