Judge an engine by its answer, not by reports that are reset

Cause: the liveness monitor asks for a report on a connection of its own and took each failure as no sign of life; two of them aborted the attempt, though its events arrived all the while.

Change: an event since the report was sent, or a reset of the report's connection, shows that the engine is alive. Only silence counts. Node.js reports our own abort of a call as a reset too, which UpstreamCall tells apart now.

--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -57,6 +57,8 @@
  * upstream states so, the connection was not established, or a helper did not grant memory.
  */
 const EXTRA_ATTEMPTS = 3;
+/** Milliseconds in which another place is sought for a prompt whose engine does not respond. */
+const LAST_SEARCH_MS = 1000;
 /** Milliseconds for which a request waits until its upstream is known to have ended. */
 const CRASH_CHECK_MS = 50;
 /** Delay in milliseconds before a client may retry a request that no upstream has executed. */
@@ -264,7 +266,12 @@
     const mayHandOver = canHandOver(context);
     const abandonment = new AbortController();
     const handover = this.createHandover(context, () => abandonment.abort());
-    const monitor = this.monitorLiveness(prepared, () => abandonment.abort());
+    const monitor = this.monitorLiveness(context, prepared, async () => {
+      if (mayHandOver) await Promise.race([handover.begin(), sleep(LAST_SEARCH_MS)]);
+      if (context.quietMs < LAST_SEARCH_MS) return false;
+      abandonment.abort();
+      return true;
+    });
     let ending: JobEnding = 'orderly';
     let faultyHelperId: string | undefined;
     try {
@@ -325,12 +332,17 @@
 
   /** Monitors the engine to which a prompt was sent, if other engines hold memory for it. */
   private monitorLiveness(
+    context: RequestContext,
     { options: { memory, upstream } }: PreparedAttempt,
-    onUnresponsive: () => void,
+    onUnresponsive: () => Promise<boolean>,
   ): LivenessMonitor | undefined {
     if (memory.isEmpty) return undefined;
-    const { commandClient } = this;
-    const monitor = new LivenessMonitor({ upstream, commandClient, onUnresponsive });
+    const monitor = new LivenessMonitor({
+      upstream,
+      commandClient: this.commandClient,
+      getQuietMs: () => context.quietMs,
+      onUnresponsive,
+    });
     monitor
       .run()
       .catch((error: unknown) =>
--- a/packages/gateway/src/entry/memory/EngineCommandClient.ts
+++ b/packages/gateway/src/entry/memory/EngineCommandClient.ts
@@ -1,7 +1,7 @@
 import { text } from 'node:stream/consumers';
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
-import { UpstreamCall } from '../../upstreams/index.js';
+import { UpstreamCall, UpstreamError } from '../../upstreams/index.js';
 import type { UpstreamAgent } from '../../upstreams/index.js';
 import type { EngineCommand, EntryProtocol } from '../EntryProtocol.js';
 import type { UpstreamStatements } from '../UpstreamStatements.js';
@@ -24,6 +24,20 @@
 
   /** Sends a command and gets the status code of the response; undefined if none came in time. */
   async send(upstream: UpstreamRecord, command: EngineCommand): Promise<number | undefined> {
+    const { status } = await this.exchange(upstream, command);
+    return status;
+  }
+
+  /** Requests a report; true if the engine responds or resets the connection. */
+  async isAlive(upstream: UpstreamRecord): Promise<boolean> {
+    const { status, isReset = false } = await this.exchange(upstream, { kind: 'report' });
+    return status !== undefined || isReset;
+  }
+
+  private async exchange(
+    upstream: UpstreamRecord,
+    command: EngineCommand,
+  ): Promise<{ status?: number; isReset?: boolean }> {
     const { protocol, agent, statements, logger } = this.options;
     const { method, path, headers, body } = protocol.buildCommandRequest(upstream.id, command);
     const call = new UpstreamCall({
@@ -46,13 +60,13 @@
         { upstream: upstream.id, order: command, status: response.statusCode },
         'engine command answered',
       );
-      return response.statusCode;
+      return { status };
     } catch (error) {
       logger.warn(
         { err: error, upstream: upstream.id, order: command },
         'engine command not answered',
       );
-      return undefined;
+      return { isReset: error instanceof UpstreamError && error.isReset };
     } finally {
       clearTimeout(timer);
     }
--- a/packages/gateway/src/upstreams/UpstreamCall.ts
+++ b/packages/gateway/src/upstreams/UpstreamCall.ts
@@ -44,6 +44,8 @@
 
   private abortReason: string | undefined;
 
+  private isAborted = false;
+
   /** True when the request was sent on a connection that earlier requests had used. */
   get isReused(): boolean {
     return this.request?.reusedSocket ?? false;
@@ -77,9 +79,11 @@
         this.byteAllowance = MAX_FRAMING_BYTES;
         resolve(response);
       });
-      request.on('error', (error) => {
+      request.on('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
-        reject(new UpstreamError(this.abortReason ?? error.message, !this.isConnected));
+        // Node.js reports a connection that this side has destroyed as a reset, too.
+        const isReset = error.code === 'ECONNRESET' && !this.isAborted;
+        reject(new UpstreamError(this.abortReason ?? error.message, !this.isConnected, isReset));
       });
       request.once('close', () => {
         clearTimeout(timer);
@@ -115,6 +119,7 @@
 
   /** Aborts the request and destroys its connection. */
   abort(): void {
+    this.isAborted = true;
     this.request?.destroy();
   }
 
@@ -144,7 +149,7 @@
       if (this.byteAllowance >= 0) return;
       // Without an error: Node.js would take the end of the connection for that of the body.
       this.abortReason = 'too many bytes outside of headers and body';
-      request.destroy();
+      this.abort();
     };
     socket.on('data', countBytes);
     // Emitted before the connection returns to the agent.
--- a/packages/gateway/tests/entry/stalls.test.ts
+++ b/packages/gateway/tests/entry/stalls.test.ts
@@ -132,3 +132,56 @@
   assert.ok(reservations >= 2);
   assert.ok(upstreams[1]?.received.every(({ text }) => text.startsWith('POST /command')));
 });
+
+// Guards against a flowing stream that is cut because reports on other connections fail.
+test('a flowing stream is not cut while its engine resets new connections', async () => {
+  const engine = withCommands(
+    () => undefined,
+    stream(() => 900),
+  );
+  const helper = withCommands(() => '200 OK', flowing);
+  const route = { isResumable: false };
+  const { response, upstreams } = await sendTo([engine, helper], route, { heldTokens: 1000 });
+  assertWhole(response);
+  assert.ok((upstreams[0]?.received.length ?? 0) > 3);
+});
+
+// Guards against a prompt that is given up before its first event, as its engine is at its limit of
+// connections.
+test('a prompt that is read is not cut while its engine resets new connections', async () => {
+  const engine = withCommands(
+    () => undefined,
+    stream((event) => (event === 1 ? 3500 : 20)),
+  );
+  const helper = withCommands(() => '200 OK', flowing);
+  const route = { isResumable: false, objectiveMs: 2000 };
+  const { response } = await sendTo([engine, helper], route, { heldTokens: 1000 });
+  assertWhole(response);
+});
+
+// Guards against memory that is held for an engine which has gone without closing its connection.
+test('a prompt whose engine falls silent is given up, so that its helpers are free again', async () => {
+  const commands: string[] = [];
+  const helper = withCommands((kind) => {
+    commands.push(kind);
+    return '200 OK';
+  }, flowing);
+  const upstreams = await Promise.all(
+    [() => undefined, helper].map((script) => ScriptedUpstream.start(script)),
+  );
+  const entry = await startEntry(
+    upstreams,
+    { ...STREAM, isResumable: false },
+    { heldTokens: 1000 },
+  );
+  try {
+    const startedAt = performance.now();
+    assert.equal((await entry.send({ deadline: '9000' })).status, 502);
+    await sleep(200);
+    assert.ok(commands.includes('release'));
+    // Engines must be free again within 4 s.
+    assert.ok(performance.now() - startedAt < 4000);
+  } finally {
+    entry.stop();
+  }
+});
