Send nothing in a shutdown that will not end before the exit

Cause: whether the process still has time for a request was decided once, when its body had been read. A queue of the scheduler or a permit of an upstream with a limit may take seconds after that, and the upstream was given the client's whole deadline.

Change: the check is repeated before the first send (503, not run, if it fails), and placement, permits and upstreams get the time until the deadline or the end of service, whichever comes first.

Acceptance itself was sound: the new test with six clients that send until the process is gone (shutdown.test.ts) passes without this change.

--- a/packages/fakes/tests/shutdown.test.ts
+++ b/packages/fakes/tests/shutdown.test.ts
@@ -10,6 +10,7 @@
 const LONG_EVENT_COUNT = 110;
 /** Number of finished streams from which their usual duration is known. */
 const SAMPLE_COUNT = 4;
+const CLIENT_COUNT = 6;
 
 async function withGateway(
   name: string,
@@ -82,6 +83,30 @@
     assert.deepEqual([status, isComplete], [200, true]);
   }));
 
+// Guards against requests that a process passes on late in its shutdown and cuts at its exit.
+test('each stream that a process passes on while it shuts down is answered whole', () =>
+  withGateway('shutdown-series', { graceSeconds: 8 }, async (gateway: TestGateway) => {
+    await sendSamples(gateway);
+    const countBefore = countRequests(gateway);
+    const responses: PromptResponse[] = [];
+    const sendUntilGone = async (): Promise<void> => {
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      try {
+        for (;;) responses.push(await gateway.send(1000, agent));
+      } catch {
+        agent.destroy();
+      }
+    };
+    const clients = Promise.all(Array.from({ length: CLIENT_COUNT }, sendUntilGone));
+    await sleep(500);
+    assert.equal(await gateway.entry.stop(), 0);
+    await clients;
+    const whole = responses.filter(({ status, isComplete }) => status === 200 && isComplete);
+    assert.equal(countRequests(gateway) - countBefore, whole.length);
+    assert.ok(responses.every(({ isComplete }) => isComplete));
+    assert.ok(responses.every(({ status }) => status === 200 || status === 503));
+  }));
+
 // Guards against connections that are closed without a response when the process exits.
 test('a request that has no response yet when the process exits is answered', () =>
   withGateway('shutdown-unanswered', { graceSeconds: 5 }, async (gateway: TestGateway) => {
--- a/packages/gateway/src/entry/ProcessLifetime.ts
+++ b/packages/gateway/src/entry/ProcessLifetime.ts
@@ -63,9 +63,16 @@
   canServe({ deadlineMs, expectedMs }: RequestDuration): boolean {
     if (this.shutdownStartedAt === undefined) return true;
     if (this.isServiceOver) return false;
-    const { serviceMs } = this;
-    if (deadlineMs <= serviceMs) return true;
+    if (deadlineMs <= this.serviceMs) return true;
     const isBalancerUnaware = this.now() - this.shutdownStartedAt < BALANCER_DELAY_MS;
-    return isBalancerUnaware && expectedMs <= serviceMs;
+    return isBalancerUnaware && this.canFinish({ deadlineMs, expectedMs });
+  }
+
+  /**
+   * Returns whether an accepted request may still be sent to an upstream: it will end, or probably
+   * end, before the end of service.
+   */
+  canFinish({ deadlineMs, expectedMs }: RequestDuration): boolean {
+    return Math.min(deadlineMs, expectedMs) <= this.serviceMs;
   }
 }
--- a/packages/gateway/src/entry/RequestContext.ts
+++ b/packages/gateway/src/entry/RequestContext.ts
@@ -2,6 +2,7 @@
 import type { Exchange } from './Exchange.js';
 import type { PlacementRequest } from './Placement.js';
 import type { RequestMetadata } from './EntryProtocol.js';
+import type { ProcessLifetime } from './ProcessLifetime.js';
 
 /** What is known about a request once its route is found and its body is read. */
 export interface RequestContextOptions {
@@ -11,6 +12,7 @@
   service: string;
   customer: Customer | undefined;
   body: Buffer;
+  lifetime: ProcessLifetime;
 }
 
 /** The placement of an attempt, as it is logged. */
@@ -70,7 +72,7 @@
     this.lastEventId = metadata.lastEventId;
     this.deadlineTimer = setTimeout(
       () => this.abort(new Error('time is over')),
-      Math.max(0, this.remainingMs),
+      Math.max(0, this.deadlineMs),
     );
     this.signal = AbortSignal.any([this.abortController.signal, exchange.disconnectSignal]);
   }
@@ -115,10 +117,16 @@
     return this.options.customer?.priority ?? this.options.route.priority;
   }
 
-  get remainingMs(): number {
+  /** Milliseconds until the client's deadline. */
+  get deadlineMs(): number {
     return this.deadlineAt - performance.now();
   }
 
+  /** Milliseconds until the final response: until the deadline, or the end of service before it. */
+  get remainingMs(): number {
+    return Math.min(this.deadlineMs, this.options.lifetime.serviceMs);
+  }
+
   /** Milliseconds until the client leaves unless an event arrives; undefined if not known. */
   private get patienceMs(): number | undefined {
     const { patienceMs } = this.route;
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -13,7 +13,7 @@
 import { CrashDetector } from './CrashDetector.js';
 import type { EntryMetrics } from './EntryMetrics.js';
 import type { Exchange } from './Exchange.js';
-import type { ProcessLifetime } from './ProcessLifetime.js';
+import type { ProcessLifetime, RequestDuration } from './ProcessLifetime.js';
 import { RequestContext } from './RequestContext.js';
 import { getAttemptTimeouts } from './AttemptTimeouts.js';
 import { LivenessMonitor, EngineCommandClient } from './memory/index.js';
@@ -135,12 +135,18 @@
     }
     const body = await exchange.readBody(routing.configuration.limits.maxBodyBytes);
     const service = chooseService(route, random());
-    const context = new RequestContext({ exchange, metadata, route, service, customer, body });
+    const context = new RequestContext({
+      exchange,
+      metadata,
+      route,
+      service,
+      customer,
+      body,
+      lifetime,
+    });
     this.openContexts.add(context);
     try {
-      const expectedMs =
-        this.durations.getUsualMs(route.name) ?? route.objectiveMs * OBJECTIVE_FACTOR;
-      if (!lifetime.canServe({ deadlineMs: context.remainingMs, expectedMs })) {
+      if (!lifetime.canServe(this.getDuration(context))) {
         const reason = 'not run: process is leaving';
         this.reject(exchange, metadata, 503, reason, SHUTDOWN_RETRY_AFTER_MS);
         return;
@@ -204,6 +210,12 @@
     }
   }
 
+  private getDuration({ deadlineMs, route }: RequestContext): RequestDuration {
+    const expectedMs =
+      this.durations.getUsualMs(route.name) ?? route.objectiveMs * OBJECTIVE_FACTOR;
+    return { deadlineMs, expectedMs };
+  }
+
   private mayRetry(context: RequestContext, outcome: IncompleteOutcome): boolean {
     const { maxAttempts } = context.route;
     if (outcome.kind === 'refused' || context.signal.aborted) return false;
@@ -256,6 +268,11 @@
   ): Promise<AttemptEnd> {
     const prepared = successor ?? (await this.preparer.prepare(context, context.signal));
     if (!(prepared instanceof PreparedAttempt)) return { outcome: prepared };
+    if (context.runs === 0 && !this.options.lifetime.canFinish(this.getDuration(context))) {
+      prepared.release();
+      const reason = 'process is leaving';
+      return { outcome: { kind: 'refused', reason, retryAfterMs: SHUTDOWN_RETRY_AFTER_MS } };
+    }
     const { upstream, helpers, handle, memory, expectedMs, isScheduled } = prepared.options;
     context.recordPlacement({
       upstream: upstream.id,
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -1,5 +1,6 @@
 import { createServer, request as openRequest } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
 import { LinkPool } from '../../src/control/LinkPool.js';
 import { RoutingTable } from '../../src/configuration/index.js';
@@ -101,6 +102,9 @@
   extra?: number;
   /** Tokens that are reserved for each request on the last upstream; 0 for none. */
   heldTokens?: number;
+  /** Milliseconds for which each request waits for its placement. */
+  placementMs?: number;
+  lifetime?: ProcessLifetime;
 }
 
 /**
@@ -110,8 +114,10 @@
 export async function startEntry(
   upstreams: ScriptedUpstream[],
   routeFields: Partial<Route> = {},
-  { ratio = 1, extra = 100, heldTokens = 0 }: TestEntryOptions = {},
+  options: TestEntryOptions = {},
 ): Promise<TestEntry> {
+  const { ratio = 1, extra = 100, heldTokens = 0, placementMs = 0 } = options;
+  const { lifetime = new ProcessLifetime({ graceMs: Infinity }) } = options;
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
     view.upstreamTable.merge({
@@ -147,7 +153,10 @@
   });
   const handler = new RequestHandler({
     protocol,
-    placer: heldTokens === 0 ? leastLoaded : addHelper(leastLoaded, view, heldTokens),
+    placer: delay(
+      heldTokens === 0 ? leastLoaded : addHelper(leastLoaded, view, heldTokens),
+      placementMs,
+    ),
     health,
     findings: view.findings,
     statements,
@@ -155,7 +164,7 @@
     metrics: new EntryMetrics(new Registry(), view, () => 0),
     getRetryBudget: () => budget,
     random: () => 0,
-    lifetime: new ProcessLifetime({ graceMs: Infinity }),
+    lifetime,
     logger: silentLogger,
   });
   const routing = createRouting(routeFields);
@@ -186,6 +195,17 @@
   return new PermitClient({ view, schedulers, logger: silentLogger });
 }
 
+/** Lets requests wait before they are placed. */
+function delay(placer: Placer, ms: number): Placer {
+  return {
+    place: async (request, signal) => {
+      if (ms > 0) await sleep(ms);
+      return placer.place(request, signal);
+    },
+    track: (request, upstream, jobId) => placer.track(request, upstream, jobId),
+  };
+}
+
 /** Lets the last upstream hold a part of each prompt that another one serves. */
 function addHelper(placer: Placer, view: ClusterView, heldTokens: number): Placer {
   return {
