Serve requests that are sent ahead one after the other

Cause: Node.js hands over pipelined requests as they are parsed, and drops the responses queued behind one that closes the connection. The exchange of such a request was also never removed from the open ones, as its response emits no `close`.

Change: ExchangeQueue lets a request begin when the response before it has ended and its connection stays open. A disconnected exchange counts as open no longer.

--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -11,6 +11,7 @@
 import { ShortPromptEngines } from './ShortPromptEngines.js';
 import { EntryMetrics } from './EntryMetrics.js';
 import { Exchange } from './Exchange.js';
+import { ExchangeQueue } from './ExchangeQueue.js';
 import { LeastLoadedPlacer } from './LeastLoadedPlacer.js';
 import { PermitClient } from './PermitClient.js';
 import { ProcessLifetime } from './ProcessLifetime.js';
@@ -61,6 +62,8 @@
 
   private readonly openExchanges = new Set<Exchange>();
 
+  private readonly exchangeQueue = new ExchangeQueue();
+
   private readonly lifetime: ProcessLifetime;
 
   constructor(private readonly options: EntryNodeOptions) {
@@ -176,13 +179,17 @@
   private accept(request: IncomingMessage, response: ServerResponse): void {
     const exchange = new Exchange(request, response, () => this.lifetime.isShuttingDown);
     this.openExchanges.add(exchange);
-    response.once('close', () => this.openExchanges.delete(exchange));
+    const remove = (): boolean => this.openExchanges.delete(exchange);
+    response.once('close', remove);
+    // A response that waits behind others on its connection does not emit `close`.
+    exchange.disconnectSignal.addEventListener('abort', remove);
     this.serve(exchange).catch((error: unknown) =>
       this.options.logger.error({ err: error }, 'request could not be handled'),
     );
   }
 
   private async serve(exchange: Exchange): Promise<void> {
+    if (!(await this.exchangeQueue.waitForTurn(exchange))) return;
     const { view, startupGate } = this;
     const routing =
       view.routing ?? (await startupGate.wait(() => view.routing, exchange.disconnectSignal));
