Take a reset answer of a plain service for broken off in azurecartd

Cause: Node.js ends the body of such an answer regularly when the reset arrives with its last bytes. The gateway tells the two apart by ResponseCompletion; the client of plain services in azurecartd did not use it. It also kept a buffer for each chunk of an answer; it uses the gateway's ByteAccumulator now.

--- a/packages/daemon/src/entry/upstreams/ServiceClient.ts
+++ b/packages/daemon/src/entry/upstreams/ServiceClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request as startRequest } from 'node:http';
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import { ByteAccumulator, ResponseCompletion } from '@azurecart/gateway';
 import { OUTCOME_HEADER } from '@azurecart/protocol';
 import { UpstreamError } from './UpstreamError.js';
 
@@ -95,14 +96,15 @@
   httpRequest: ClientRequest,
   response: IncomingMessage,
 ): Promise<ServiceResponse> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const completion = new ResponseCompletion(response);
+  const body = new ByteAccumulator(MAX_BODY_BYTES);
   try {
     for await (const chunk of response) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > MAX_BODY_BYTES) throw new UpstreamError('answer too long', 'unknown');
-      chunks.push(chunk as Buffer);
+      body.append(chunk as Buffer);
+      if (body.length > MAX_BODY_BYTES) throw new UpstreamError('answer too long', 'unknown');
     }
+    // A response without length that is reset ends like a whole one.
+    if (!(await completion.isComplete())) throw new UpstreamError('answer reset', 'unknown');
   } catch (error) {
     httpRequest.destroy();
     // Also replaces the error of a response that is too long, which remains as the cause.
@@ -112,5 +114,5 @@
   if (response.headers[OUTCOME_HEADER] === 'not-run') {
     throw new UpstreamError(`refused with status ${status}`, 'not-run');
   }
-  return { status, headers: response.headers, body: Buffer.concat(chunks) };
+  return { status, headers: response.headers, body: body.bytes };
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,4 +3,4 @@
 export * from './control/index.js';
 export * from './entry/index.js';
 export * from './settings/index.js';
-export { getEndToEndHeaders } from './upstreams/index.js';
+export { ByteAccumulator, ResponseCompletion } from './upstreams/index.js';
