Bound the sum of the bodies that an entry process holds

Cause: each answer had a limit (8 MiB) but not all of them together; bodies of requests had none, kept a buffer for each chunk, and `memoryMb` was read by no code.

Change: MemoryBudget (packages/scheduling, no network) gives shares of `memoryMb` to bodies of requests (0.2) and of answers (0.15). A request whose body gets none within a third of its time limit is answered with 503, not run. Gauges show what is held and what waits. The connection is kept for the answers 413 and 503.

--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
+import type { MemoryBudget } from '@azurecart/scheduling';
 import type { ClusterView } from './ClusterView.js';
 
 /**
@@ -11,6 +12,14 @@
 /** Histogram buckets for observed divided by expected time; 1 is a perfect prediction. */
 const PREDICTION_RATIO_BUCKETS = [0.25, 0.5, 0.8, 0.9, 1.1, 1.2, 1.5, 2, 4];
 
+export interface EntryMetricsOptions {
+  registry: Registry;
+  view: ClusterView;
+  getOpenRequestCount: () => number;
+  /** Memory for bodies by the kind of message. */
+  memory: { request: MemoryBudget; response: MemoryBudget };
+}
+
 /** Metrics of an entry process. Label values are bounded sets: kinds, priorities and outcomes. */
 export class EntryMetrics {
   private readonly requests: Counter;
@@ -23,7 +32,7 @@
 
   private readonly handovers: Counter;
 
-  constructor(registry: Registry, view: ClusterView, getOpenRequestCount: () => number) {
+  constructor({ registry, view, getOpenRequestCount, memory }: EntryMetricsOptions) {
     const registers = [registry];
     this.requests = new Counter({
       name: 'azurecart_gateway_requests_total',
@@ -59,6 +68,12 @@
     });
     addGauge(registry, 'configuration_version', 'Version in force', () => view.version);
     addGauge(registry, 'open_requests', 'Requests in work', getOpenRequestCount);
+    for (const [kind, budget] of Object.entries(memory)) {
+      const help = `Bytes that bodies of ${kind}s hold`;
+      addGauge(registry, `${kind}_bytes_held`, help, () => budget.usedBytes);
+      const waiting = `Bodies of ${kind}s that wait for memory`;
+      addGauge(registry, `${kind}_bodies_waiting`, waiting, () => budget.waitingCount);
+    }
     addGauge(
       registry,
       'upstreams_ready',
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
+import { MemoryBudget } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { ConfigurationCodec } from '../configuration/index.js';
 import { listenAt } from '../links/index.js';
@@ -37,6 +38,11 @@
 const EXPIRY_INTERVAL_MS = 1000;
 const POLL_INTERVAL_MS = 20;
 const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1024 * 1024;
+/** Share of the memory of the process for bodies of requests, kept until their responses end. */
+const REQUEST_MEMORY_SHARE = 0.2;
+/** Share of the memory of the process for bodies of responses. */
+const RESPONSE_MEMORY_SHARE = 0.15;
 
 /** An entry process: accepts client requests and proxies them to upstreams. */
 export class EntryNode {
@@ -66,8 +72,15 @@
 
   private readonly lifetime: ProcessLifetime;
 
+  private readonly requestMemory: MemoryBudget;
+
+  private readonly responseMemory: MemoryBudget;
+
   constructor(private readonly options: EntryNodeOptions) {
     const { settings, protocol, codec, logger } = options;
+    const memoryBytes = settings.memoryMb * BYTES_PER_MB;
+    this.requestMemory = new MemoryBudget({ maxBytes: memoryBytes * REQUEST_MEMORY_SHARE });
+    this.responseMemory = new MemoryBudget({ maxBytes: memoryBytes * RESPONSE_MEMORY_SHARE });
     this.lifetime = new ProcessLifetime({ graceMs: settings.graceSeconds * MS_PER_SECOND });
     this.view = new ClusterView({ codec, logger });
     this.statements = new UpstreamStatements({ view: this.view, logger });
@@ -79,10 +92,17 @@
       statements: this.statements,
       placer: this.createPlacer(),
       agent: new UpstreamAgent(),
-      metrics: new EntryMetrics(this.registry, this.view, () => this.openExchanges.size),
+      metrics: new EntryMetrics({
+        registry: this.registry,
+        view: this.view,
+        getOpenRequestCount: () => this.openExchanges.size,
+        memory: { request: this.requestMemory, response: this.responseMemory },
+      }),
       getRetryBudget: (service) => this.getRetryBudget(service),
       random: Math.random,
       lifetime: this.lifetime,
+      requestMemory: this.requestMemory,
+      responseMemory: this.responseMemory,
       logger,
     });
     this.clientServer = createServer((request, response) => this.accept(request, response));
--- a/packages/gateway/src/entry/Exchange.ts
+++ b/packages/gateway/src/entry/Exchange.ts
@@ -1,9 +1,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { BodyTooLargeError } from './BodyTooLargeError.js';
+import type { MemoryBudget, MemoryHolder } from '@azurecart/scheduling';
+import { BodyTooLargeError, OutOfMemoryError, readBody } from '../upstreams/index.js';
 import { ClientDisconnectedError } from './ClientDisconnectedError.js';
 
 const MS_PER_SECOND = 1000;
 
+/** Options of {@link Exchange.readBody}. */
+export interface RequestBodyOptions {
+  maxBytes: number;
+  /** Milliseconds for which the body may wait for memory. */
+  waitMs: number;
+  budget: MemoryBudget;
+}
+
 /** An HTTP request of a client and its response. */
 export class Exchange {
   readonly startedAt = performance.now();
@@ -44,25 +53,32 @@
   }
 
   /**
-   * Reads the whole body.
+   * Reads the whole body, which holds memory of the budget until the response ends.
    * @throws BodyTooLargeError if it exceeds the limit.
+   * @throws OutOfMemoryError if there was no memory for it in time.
    * @throws ClientDisconnectedError if it cannot be read to its end, because the client disconnects
    * or sends a malformed body.
    */
-  async readBody(maxBytes: number): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
+  async readBody({ maxBytes, waitMs, budget }: RequestBodyOptions): Promise<Buffer> {
+    const holder = budget.open();
+    this.holdUntilEnd(holder);
+    const getWaitSignal = (): AbortSignal =>
+      AbortSignal.any([this.disconnectSignal, AbortSignal.timeout(waitMs)]);
     try {
-      for await (const chunk of this.request as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > maxBytes) throw new BodyTooLargeError(`body exceeds ${maxBytes} bytes`);
-        chunks.push(chunk);
-      }
+      return await readBody(this.request, { maxBytes, holder, getWaitSignal });
     } catch (error) {
-      if (error instanceof BodyTooLargeError) throw error;
+      holder.release();
+      if (error instanceof BodyTooLargeError || error instanceof OutOfMemoryError) throw error;
       throw new ClientDisconnectedError(String(error));
     }
-    return chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks);
+  }
+
+  /** Releases memory once the response has ended or its connection is closed. */
+  holdUntilEnd(holder: MemoryHolder): void {
+    const release = (): void => holder.release();
+    this.response.once('close', release);
+    // A response that waits behind others on its connection does not emit `close`.
+    this.disconnectSignal.addEventListener('abort', release);
   }
 
   /**
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -1,14 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { UpstreamRecord } from '@azurecart/discovery';
 import { Handover } from '@azurecart/scheduling';
-import type { JobEnding } from '@azurecart/scheduling';
+import type { JobEnding, MemoryBudget } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { Route, RoutingTable } from '../configuration/index.js';
+import { BodyTooLargeError, OutOfMemoryError } from '../upstreams/index.js';
 import type { UpstreamAgent } from '../upstreams/index.js';
 import type { AttemptOutcome } from './AttemptOutcome.js';
 import { AttemptPreparer } from './AttemptPreparer.js';
 import type { Findings } from '../findings/index.js';
-import { BodyTooLargeError } from './BodyTooLargeError.js';
 import { ClientDisconnectedError } from './ClientDisconnectedError.js';
 import { CrashDetector } from './CrashDetector.js';
 import type { EntryMetrics } from './EntryMetrics.js';
@@ -39,6 +39,10 @@
   getRetryBudget: (service: string) => RetryBudgetShare;
   random: () => number;
   lifetime: ProcessLifetime;
+  /** Memory for the bodies of requests. */
+  requestMemory: MemoryBudget;
+  /** Memory for the bodies of responses that are relayed as a whole. */
+  responseMemory: MemoryBudget;
   logger: Logger;
 }
 
@@ -65,6 +69,10 @@
 const NOT_RUN_RETRY_AFTER_MS = 300;
 /** Delay before a client may retry on a process that has just started, in milliseconds. */
 const STARTUP_RETRY_AFTER_MS = 1200;
+/** Delay before a client may retry when there is no memory for its body, in milliseconds. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
+/** Share of the time limit of a request for which its body may wait for memory. */
+const BODY_WAIT_SHARE = 1 / 3;
 /** Delay before a client may retry on another process when this one shuts down, in milliseconds. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 /**
@@ -98,8 +106,10 @@
       await this.serve(exchange, routing);
     } catch (error) {
       if (error instanceof ClientDisconnectedError) return;
-      if (error instanceof BodyTooLargeError) exchange.sendError(413, error.message);
-      else {
+      if (error instanceof BodyTooLargeError) {
+        exchange.request.resume();
+        exchange.sendError(413, error.message);
+      } else {
         this.options.logger.error({ err: error }, 'request handler failed');
         exchange.sendError(500, 'internal error');
       }
@@ -133,7 +143,8 @@
       this.reject(exchange, metadata, 401, 'unknown key');
       return;
     }
-    const body = await exchange.readBody(routing.configuration.limits.maxBodyBytes);
+    const body = await this.readBody(exchange, metadata, route, routing);
+    if (!body) return;
     const service = chooseService(route, random());
     const context = new RequestContext({
       exchange,
@@ -160,6 +171,27 @@
     }
   }
 
+  /** Reads the body of a request; undefined if the request was rejected for want of memory. */
+  private async readBody(
+    exchange: Exchange,
+    metadata: RequestMetadata,
+    route: Route,
+    { configuration: { limits } }: RoutingTable,
+  ): Promise<Buffer | undefined> {
+    try {
+      return await exchange.readBody({
+        maxBytes: limits.maxBodyBytes,
+        waitMs: Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs) * BODY_WAIT_SHARE,
+        budget: this.options.requestMemory,
+      });
+    } catch (error) {
+      if (!(error instanceof OutOfMemoryError)) throw error;
+      const reason = `not run: ${error.message}`;
+      this.reject(exchange, metadata, 503, reason, NO_MEMORY_RETRY_AFTER_MS);
+      return undefined;
+    }
+  }
+
   /**
    * Rejects a request before any attempt; drains its body so that the connection can be reused.
    * @remarks In the request counter, the outcome of a rejected request is the HTTP status, and its
@@ -292,7 +324,7 @@
     let ending: JobEnding = 'orderly';
     let faultyHelperId: string | undefined;
     try {
-      const { protocol, health, statements, agent } = this.options;
+      const { protocol, health, statements, agent, responseMemory } = this.options;
       const { lastEventId } = context;
       const sentAt = performance.now();
       const outcome = await new UpstreamAttempt({
@@ -300,6 +332,7 @@
         health,
         statements,
         agent,
+        responseMemory,
         context,
         upstream,
         helpers: helpers.map(({ upstream: { address } }) => ({
--- a/packages/gateway/src/entry/UpstreamAttempt.ts
+++ b/packages/gateway/src/entry/UpstreamAttempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { UpstreamRecord } from '@azurecart/discovery';
+import type { MemoryBudget } from '@azurecart/scheduling';
 import {
   ResponseCompletion,
   EventStreamSplitter,
@@ -27,6 +28,8 @@
   upstream: UpstreamRecord;
   helpers: PrefillHelper[];
   handle: PlacementHandle;
+  /** Memory for the bodies of responses that are relayed as a whole. */
+  responseMemory: MemoryBudget;
   /** Times after which the attempt counts as stalled; undefined if it cannot be handed over. */
   timeouts: AttemptTimeouts | undefined;
   /** Ends the attempt, because another upstream takes the request over or the engine is gone. */
@@ -159,11 +162,14 @@
     response: IncomingMessage,
     call: UpstreamCall,
   ): Promise<AttemptOutcome> {
-    const { health, context, upstream, protocol } = this.options;
+    const { health, context, upstream, protocol, responseMemory } = this.options;
     const status = response.statusCode ?? 0;
-    const body = await readBufferedBody(response, call);
-    // The body was truncated or exceeds the limit of the buffer; the reason covers both.
+    const holder = responseMemory.open();
+    context.exchange.holdUntilEnd(holder);
+    const body = await readBufferedBody(response, call, holder, context.signal);
+    // The body was truncated or exceeds a limit on memory; the reason covers both.
     if (!body) {
+      holder.release();
       if (!context.signal.aborted) health.recordErrorResponse(upstream.id);
       return { kind: 'unknown', reason: 'answer cut short' };
     }
--- a/packages/gateway/src/entry/bufferedResponse.ts
+++ b/packages/gateway/src/entry/bufferedResponse.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
-import { ResponseCompletion } from '../upstreams/index.js';
+import type { MemoryHolder } from '@azurecart/scheduling';
+import { readBody, ResponseCompletion } from '../upstreams/index.js';
 import type { UpstreamCall } from '../upstreams/index.js';
 import type { BufferedResponse } from './AttemptOutcome.js';
 import type { Exchange } from './Exchange.js';
@@ -7,25 +8,29 @@
 /** Maximum size in bytes of a response body; bounds the memory that one request occupies. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-/** Reads the complete body of a response; undefined if it is truncated or too large. */
+/**
+ * Reads the complete body of a response; undefined if it is truncated or too large, or if there is no
+ * memory for it before the signal is aborted.
+ */
 export async function readBufferedBody(
   response: IncomingMessage,
   call: UpstreamCall,
+  holder: MemoryHolder,
+  signal: AbortSignal,
 ): Promise<Buffer | undefined> {
   const completion = new ResponseCompletion(response);
-  const chunks: Buffer[] = [];
-  let size = 0;
   try {
-    for await (const chunk of response as AsyncIterable<Buffer>) {
-      call.recordBody(chunk.length);
-      size += chunk.length;
-      if (size > MAX_RESPONSE_BYTES) return undefined;
-      chunks.push(chunk);
-    }
+    const body = await readBody(response, {
+      maxBytes: MAX_RESPONSE_BYTES,
+      holder,
+      getWaitSignal: () => signal,
+      onChunk: (byteCount) => call.recordBody(byteCount),
+    });
+    return (await completion.isComplete()) ? body : undefined;
   } catch {
+    call.abort();
     return undefined;
   }
-  return (await completion.isComplete()) ? Buffer.concat(chunks) : undefined;
 }
 
 /** Sends status, headers and body of a buffered response; aborts if a response has begun. */
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
+import { MemoryBudget } from '@azurecart/scheduling';
 import { LinkPool } from '../../src/control/LinkPool.js';
 import { RoutingTable } from '../../src/configuration/index.js';
 import type { Route } from '../../src/configuration/index.js';
@@ -92,6 +93,8 @@
     options?: { disconnectAfterMs?: number },
   ): Promise<ClientResponse>;
   stop(): void;
+  port: number;
+  requestMemory: MemoryBudget;
   view: ClusterView;
 }
 
@@ -105,8 +108,13 @@
   /** Milliseconds for which each request waits for its placement. */
   placementMs?: number;
   lifetime?: ProcessLifetime;
+  /** Bytes that bodies of requests may hold, and those of responses as many again. */
+  memoryBytes?: number;
+  maxBodyBytes?: number;
 }
 
+const DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024;
+
 /**
  * Starts an entry process with one route to the given upstreams. They are tried in their order
  * if none has requests in flight or failures: the first is local, and others tie without jitter.
@@ -117,6 +125,7 @@
   options: TestEntryOptions = {},
 ): Promise<TestEntry> {
   const { ratio = 1, extra = 100, heldTokens = 0, placementMs = 0 } = options;
+  const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99 } = options;
   const { lifetime = new ProcessLifetime({ graceMs: Infinity }) } = options;
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
@@ -151,6 +160,8 @@
     dataCentre: 'near',
     random: () => 0,
   });
+  const requestMemory = new MemoryBudget({ maxBytes: memoryBytes });
+  const responseMemory = new MemoryBudget({ maxBytes: memoryBytes });
   const handler = new RequestHandler({
     protocol,
     placer: delay(
@@ -161,13 +172,20 @@
     findings: view.findings,
     statements,
     agent,
-    metrics: new EntryMetrics(new Registry(), view, () => 0),
+    metrics: new EntryMetrics({
+      registry: new Registry(),
+      view,
+      getOpenRequestCount: () => 0,
+      memory: { request: requestMemory, response: responseMemory },
+    }),
     getRetryBudget: () => budget,
     random: () => 0,
     lifetime,
+    requestMemory,
+    responseMemory,
     logger: silentLogger,
   });
-  const routing = createRouting(routeFields);
+  const routing = createRouting(routeFields, maxBodyBytes);
   const server = createServer((request, response) => {
     handler.run(new Exchange(request, response, () => false), routing);
   });
@@ -177,6 +195,8 @@
   });
   const { port } = server.address() as AddressInfo;
   return {
+    port,
+    requestMemory,
     view,
     send: (headers = {}, { disconnectAfterMs } = {}) => send(port, headers, disconnectAfterMs),
     stop: () => {
@@ -219,7 +239,7 @@
   };
 }
 
-function createRouting(routeFields: Partial<Route>): RoutingTable {
+function createRouting(routeFields: Partial<Route>, maxBodyBytes: number): RoutingTable {
   const route: Route = {
     name: 'r',
     host: 'a.example',
@@ -240,7 +260,7 @@
     version: 1,
     routes: [route],
     services: [{ name: 's', healthPath: '/', maxConnections: 9 }],
-    limits: { maxHeaderBytes: 9999, maxBodyBytes: 99, headerTimeoutMs: 999, idleTimeoutMs: 999 },
+    limits: { maxHeaderBytes: 9999, maxBodyBytes, headerTimeoutMs: 999, idleTimeoutMs: 999 },
     customers: [{ name: 't', keys: ['good'] }],
   });
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export * from './handover/index.js';
 export * from './ledger/index.js';
 export * from './limits/index.js';
+export * from './memory/index.js';
 export * from './placement/index.js';
 export * from './poison/index.js';
 export * from './queue/index.js';
