Give up a body that does not arrive within the time limit

What callers would see: a client that begins a long body and falls silent keeps the memory for it; a few of them leave none for the long bodies of others.

Cause: the body is read before the time limit of the request applies, and nothing else ends a read.

Change: a body that has not arrived at the request's time limit is answered with 408 (not run), its memory is given back and the connection closed.

--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -9,6 +9,7 @@
 import type { AttemptOutcome } from './AttemptOutcome.js';
 import { AttemptPreparer } from './AttemptPreparer.js';
 import type { Findings } from '../findings/index.js';
+import { BodyTimeoutError } from './BodyTimeoutError.js';
 import { ClientDisconnectedError } from './ClientDisconnectedError.js';
 import { CrashDetector } from './CrashDetector.js';
 import type { EntryMetrics } from './EntryMetrics.js';
@@ -171,7 +172,7 @@
     }
   }
 
-  /** Reads the body of a request; undefined if the request was rejected for want of memory. */
+  /** Reads the body of a request; undefined if the request was rejected, as it cannot be read. */
   private async readBody(
     exchange: Exchange,
     metadata: RequestMetadata,
@@ -179,15 +180,19 @@
     { configuration: { limits } }: RoutingTable,
   ): Promise<Buffer | undefined> {
     try {
+      const limitMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
       return await exchange.readBody({
         maxBytes: limits.maxBodyBytes,
-        waitMs: Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs) * BODY_WAIT_SHARE,
+        limitMs,
+        waitMs: limitMs * BODY_WAIT_SHARE,
         budget: this.options.requestMemory,
       });
     } catch (error) {
-      if (!(error instanceof OutOfMemoryError)) throw error;
-      const reason = `not run: ${error.message}`;
-      this.reject(exchange, metadata, 503, reason, NO_MEMORY_RETRY_AFTER_MS);
+      if (error instanceof OutOfMemoryError)
+        this.reject(exchange, metadata, 503, `not run: ${error.message}`, NO_MEMORY_RETRY_AFTER_MS);
+      else if (error instanceof BodyTimeoutError)
+        this.reject(exchange, metadata, 408, `not run: ${error.message}`);
+      else throw error;
       return undefined;
     }
   }
