--- a/packages/gateway/tests/entry/connectionHeader.test.ts
+++ b/packages/gateway/tests/entry/connectionHeader.test.ts
@@ -33,7 +33,7 @@
   }
 }
 
-/** Appends headers in upper and lower case by turns to a name, so that case does not matter. */
+/** Writes names in upper and lower case by turns. */
 function alternateCase(names: string): string {
   return names.replace(/\w+/g, (name, offset: number) =>
     offset % 2 === 0 ? name.toUpperCase() : name,
