Evacuate data centres and take them back

Cause: POST and DELETE /api/evacuations/ZONE got 404, so an operator could not empty a data centre.

Change: an order is an entry of the replicated log and is acknowledged when a quorum has stored it. A revision counts the changes; an order held up on a link carries an older one and is ignored. Control processes push the evacuated data centres to entry processes before their configuration. Neither schedulers nor entry processes choose their upstreams; queued jobs move to others, and are refused if all upstreams are in evacuated data centres. Engines that return keep the jobs that still run there.

Measured: the tests of discovery and platform and of gateway/tests/control pass, and the new ones under gateway/tests/entry.

--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -45,6 +45,8 @@
 export class UpstreamTable {
   private readonly records = new Map<string, UpstreamRecord>();
 
+  private evacuated: ReadonlySet<string> = new Set();
+
   constructor(private readonly options: UpstreamTableOptions) {}
 
   /**
@@ -95,11 +97,32 @@
     return [...this.records.values()];
   }
 
-  /** Gets the upstreams of a service that accept new requests. */
+  /** Sets the data centres whose upstreams may get no new requests. */
+  setEvacuated(dataCentres: string[]): void {
+    this.evacuated = new Set(dataCentres);
+  }
+
+  /** Returns true if an upstream is known and may get new requests. */
+  isOpen(id: string): boolean {
+    const record = this.records.get(id);
+    return record !== undefined && this.isReady(record);
+  }
+
+  /** Gets the upstreams of a service that may get new requests. */
   getReady(service: string): UpstreamRecord[] {
-    return this.getRecords().filter(
-      (record) => record.state === 'ready' && record.service === service,
+    return this.getRecords().filter((record) => record.service === service && this.isReady(record));
+  }
+
+  /**
+   * Returns true if a service has upstreams that accept new requests, but all of them are in
+   * evacuated data centres.
+   */
+  isEvacuated(service: string): boolean {
+    if (this.evacuated.size === 0) return false;
+    const accepting = this.getRecords().filter(
+      (record) => record.service === service && record.state === 'ready',
     );
+    return accepting.length > 0 && !accepting.some((record) => this.isReady(record));
   }
 
   /** Removes expired tombstones and upstreams whose announcements have stopped. */
@@ -115,6 +138,10 @@
     }
   }
 
+  private isReady({ state, dataCentre }: UpstreamRecord): boolean {
+    return state === 'ready' && !this.evacuated.has(dataCentre);
+  }
+
   /** Whether an upstream that started later has the address, so the announcement is outdated. */
   private isAddressHeldByNewer(announcement: Announcement): boolean {
     if (announcement.state === 'gone') return false;
--- a/packages/discovery/tests/UpstreamTable.test.ts
+++ b/packages/discovery/tests/UpstreamTable.test.ts
@@ -141,3 +141,32 @@
   table.removeExpired();
   assert.deepEqual(table.getRecords(), []);
 });
+
+test('an evacuated data centre keeps its upstreams, which get no new requests', () => {
+  const table = createTable();
+  table.merge(createAnnouncement({ id: 'a', dataCentre: 'd' }));
+  table.merge(createAnnouncement({ id: 'b', dataCentre: 'e', address: '10.0.0.2:80' }));
+  table.setEvacuated(['d']);
+  assert.deepEqual(
+    table.getReady('s').map(({ id }) => id),
+    ['b'],
+  );
+  assert.deepEqual([table.isOpen('a'), table.isOpen('b'), table.isOpen('c')], [false, true, false]);
+  assert.equal(table.isEvacuated('s'), false);
+  assert.equal(table.getUpstream('a')?.state, 'ready');
+  table.setEvacuated([]);
+  assert.equal(table.getReady('s').length, 2);
+});
+
+test('upstreams that register in an evacuated data centre get no requests until it is back', () => {
+  const table = createTable();
+  table.setEvacuated(['d']);
+  assert.equal(table.isEvacuated('s'), false);
+  table.merge(createAnnouncement());
+  assert.equal(table.isOpen('a'), false);
+  assert.equal(table.isEvacuated('s'), true);
+  table.merge(createAnnouncement({ bornAt: 2000, state: 'draining' }));
+  assert.equal(table.isEvacuated('s'), false);
+  table.setEvacuated([]);
+  assert.equal(table.isOpen('a'), false);
+});
--- a/packages/gateway/src/control/ConfigurationState.ts
+++ b/packages/gateway/src/control/ConfigurationState.ts
@@ -1,6 +1,8 @@
 import { decode, encode } from '@msgpack/msgpack';
 import type { StateMachine } from '@azurecart/consensus';
 import type { Configuration, ConfigurationCodec } from '../configuration/index.js';
+import { Evacuations } from './Evacuations.js';
+import type { EvacuationOrder, EvacuationResult, EvacuationUpdate } from './Evacuations.js';
 
 /** A configuration document and its version. */
 export interface VersionedDocument {
@@ -18,14 +20,27 @@
 /** Options of a {@link ConfigurationState}. */
 export interface ConfigurationStateOptions {
   codec: ConfigurationCodec;
-  /** Called after a newer document was applied or a snapshot was restored. */
+  /** Called after a newer document or an order was applied, or a snapshot was restored. */
   onChanged: () => void;
 }
 
-/** State machine that holds the document with the highest committed version. */
+/** A command of the log; only one that orders an evacuation has `evacuation`. */
+type Command = VersionedDocument & { evacuation?: EvacuationOrder };
+
+/**
+ * A snapshot. Those of earlier versions hold no evacuations, and are null without a document.
+ */
+type Snapshot = Partial<VersionedDocument> & { evacuations?: EvacuationUpdate };
+
+/**
+ * State machine that holds the document with the highest committed version and the evacuated data
+ * centres.
+ */
 export class ConfigurationState implements StateMachine {
   current: VersionedDocument | undefined;
 
+  private readonly evacuations = new Evacuations();
+
   private decoded: { version: number; configuration: Configuration } | undefined;
 
   constructor(private readonly options: ConfigurationStateOptions) {}
@@ -41,8 +56,17 @@
     return this.decoded.configuration;
   }
 
-  apply(command: Uint8Array): ApplyResult {
-    const proposed = decode(command) as VersionedDocument;
+  get evacuation(): EvacuationUpdate {
+    return this.evacuations.current;
+  }
+
+  apply(command: Uint8Array): ApplyResult | EvacuationResult {
+    const { evacuation, ...proposed } = decode(command) as Command;
+    if (evacuation) {
+      const result = this.evacuations.apply(evacuation);
+      this.options.onChanged();
+      return result;
+    }
     if (this.current && proposed.version <= this.current.version) return 'superseded';
     this.current = proposed;
     this.options.onChanged();
@@ -50,11 +74,16 @@
   }
 
   takeSnapshot(): Uint8Array {
-    return encode(this.current ?? null);
+    const snapshot: Snapshot = { ...this.current, evacuations: this.evacuation };
+    return encode(snapshot);
   }
 
   restore(state: Uint8Array): void {
-    this.current = (decode(state) as VersionedDocument | null) ?? undefined;
+    const snapshot = (decode(state) as Snapshot | null) ?? {};
+    const { version, document, evacuations = { revision: 0, dataCentres: [] } } = snapshot;
+    this.current =
+      version === undefined || document === undefined ? undefined : { version, document };
+    this.evacuations.restore(evacuations);
     this.options.onChanged();
   }
 }
@@ -63,3 +92,12 @@
 export function encodeProposal(document: VersionedDocument): Uint8Array {
   return encode(document);
 }
+
+/**
+ * Encodes an order as a command. It also looks like a document of version 0, which processes of
+ * earlier versions ignore.
+ */
+export function encodeOrder(evacuation: EvacuationOrder): Uint8Array {
+  const command: Command = { version: 0, document: new Uint8Array(), evacuation };
+  return encode(command);
+}
--- a/packages/gateway/src/control/ControlInterface.ts
+++ b/packages/gateway/src/control/ControlInterface.ts
@@ -8,11 +8,25 @@
   /** The submission may or may not take effect; it is safe to repeat it. */
   | { kind: 'unknown'; reason: string };
 
+/** Outcome of an order to evacuate a data centre or to return it to use. */
+export type EvacuationOutcome =
+  /** The order is committed, at this revision or an earlier one. */
+  | { kind: 'accepted'; revision: number }
+  /** The data centre certainly does not exist. */
+  | { kind: 'unknownDataCentre' }
+  /** The order may or may not take effect; it is safe to repeat it. */
+  | { kind: 'unknown'; reason: string };
+
 /** Operations that a control process offers to operators and upstreams. */
 export interface ControlInterface {
   submit(document: Uint8Array): Promise<SubmitOutcome>;
   /** Gets the latest document, confirmed by a quorum; undefined if there is none or no quorum. */
   read(): Promise<Uint8Array | undefined>;
+  /**
+   * Asks that the upstreams of a data centre get no new requests, or withdraws that.
+   * @returns Once a quorum has stored the order; entry processes learn of it right afterwards.
+   */
+  setEvacuated(dataCentre: string, isEvacuated: boolean): Promise<EvacuationOutcome>;
   /**
    * Merges an announcement. If it changes the record and its state is not `ready`, resolves when
    * all subscribers have confirmed the change or timed out; otherwise resolves at once.
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -27,10 +27,17 @@
 import { getSeedLinkAddresses } from '../settings/index.js';
 import type { ControlSettings } from '../settings/index.js';
 import { ClusterMembership } from './ClusterMembership.js';
-import { ConfigurationState, encodeProposal } from './ConfigurationState.js';
+import { ConfigurationState, encodeOrder, encodeProposal } from './ConfigurationState.js';
 import type { VersionedDocument } from './ConfigurationState.js';
-import type { ControlInterface, ControlProtocol, SubmitOutcome } from './ControlInterface.js';
+import type {
+  ControlInterface,
+  ControlProtocol,
+  EvacuationOutcome,
+  SubmitOutcome,
+} from './ControlInterface.js';
 import { createControlServer } from './createControlServer.js';
+import type { EvacuationOrder, EvacuationResult } from './Evacuations.js';
+import { EvacuationSubmitter } from './EvacuationSubmitter.js';
 import { LinkPeerNetwork } from './LinkPeerNetwork.js';
 import { LinkPool } from './LinkPool.js';
 import { METHODS } from './messages.js';
@@ -99,6 +106,8 @@
 
   private readonly publisher: UpdatePublisher;
 
+  private readonly evacuationSubmitter: EvacuationSubmitter;
+
   private readonly linkPool: LinkPool;
 
   private readonly placement: PlacementService;
@@ -116,6 +125,11 @@
 
   private seeds: string[];
 
+  /** Data centres that the settings name; empty if they name none. */
+  private dataCentres: string[];
+
+  private evacuationRevision = 0;
+
   /** Upstreams that announced themselves here since the last exchange with other processes. */
   private announcedIds = new Set<string>();
 
@@ -130,9 +144,10 @@
     const now = (): number => performance.now();
     this.ownAddress = `${settings.host}:${settings.linkPort}`;
     this.seeds = getSeedLinkAddresses(settings);
+    this.dataCentres = settings.dataCentres;
     this.state = new ConfigurationState({
       codec: options.codec,
-      onChanged: () => this.publisher.pushConfiguration(),
+      onChanged: () => this.applyState(),
     });
     this.table = new UpstreamTable({ now });
     this.findings = new Findings({ now, logger });
@@ -151,6 +166,12 @@
       findings: this.findings,
       logger,
     });
+    this.evacuationSubmitter = new EvacuationSubmitter({
+      commit: (order) => this.commitOrder(order),
+      getRevision: () => this.state.evacuation.revision,
+      mayExist: (dataCentre) => this.mayExist(dataCentre),
+      logger,
+    });
     this.findings.changes.subscribe((update) => this.passOnFindings(update));
     this.linkPool = new LinkPool({
       ownAddress: this.ownAddress,
@@ -208,9 +229,10 @@
     return replica?.getMembers().some(({ id, voter }) => voter && id === replica.id) ?? false;
   }
 
-  /** Applies the seeds of changed settings; other settings take effect at the next start. */
+  /** Applies the seeds and data centres of changed settings; other settings take effect at the next start. */
   reload(settings: ControlSettings): void {
     this.seeds = getSeedLinkAddresses(settings);
+    this.dataCentres = settings.dataCentres;
     this.options.logger.info({ seeds: this.seeds }, 'settings reloaded');
   }
 
@@ -255,6 +277,10 @@
     }
   }
 
+  setEvacuated(dataCentre: string, isEvacuated: boolean): Promise<EvacuationOutcome> {
+    return this.evacuationSubmitter.submit(dataCentre, isEvacuated);
+  }
+
   async announce(announcement: Announcement): Promise<void> {
     const result = this.table.merge(announcement);
     this.announcedIds.add(announcement.id);
@@ -278,22 +304,31 @@
   }
 
   private async commit(proposed: VersionedDocument): Promise<void> {
-    if (this.replica?.role === 'leader') await this.propose(proposed);
+    if (this.replica?.role === 'leader') await this.propose(encodeProposal(proposed));
     else await this.callLeader(METHODS.propose, proposed);
   }
 
-  private async propose(proposed: VersionedDocument): Promise<void> {
+  private async commitOrder(order: EvacuationOrder): Promise<EvacuationResult> {
+    const result =
+      this.replica?.role === 'leader'
+        ? await this.propose(encodeOrder(order))
+        : await this.callLeader(METHODS.evacuate, order);
+    return result as EvacuationResult;
+  }
+
+  /** Proposes a command as the leader and gets the result of applying it. */
+  private async propose(command: Uint8Array): Promise<unknown> {
     const { replica } = this;
     if (!replica) throw new NotLeaderError(undefined);
     const voters = replica.getMembers().filter((member) => member.voter).length;
     const needed = this.getNeededVoters();
     if (voters < needed) throw new Error(`${voters} voters are too few, ${needed} are needed`);
-    await replica.propose(encodeProposal(proposed));
+    return replica.propose(command);
   }
 
   /**
    * Gets the number of voters that a proposal requires. For f tolerated losses, 2f voters have
-   * quorums of f + 1, so a committed document survives the losses. The first document requires
+   * quorums of f + 1, so what is committed survives the losses. What comes before or with the first document requires
    * 2f + 1 voters, so that a quorum remains after the losses too; later on a voter is missing only
    * while it is being replaced.
    */
@@ -320,7 +355,10 @@
     );
     add(METHODS.probe, () => ({ isInitialised: this.replica?.isInitialised ?? false }));
     add<JoinRequest>(METHODS.join, (body) => this.handleJoin(body));
-    add<VersionedDocument>(METHODS.propose, (body) => this.propose(body));
+    add<VersionedDocument>(METHODS.propose, async (body) => {
+      await this.propose(encodeProposal(body));
+    });
+    add<EvacuationOrder>(METHODS.evacuate, (body) => this.propose(encodeOrder(body)));
     add(METHODS.read, async () => {
       const { replica } = this;
       if (replica?.role !== 'leader') return null;
@@ -330,6 +368,32 @@
     add<UpstreamUpdate>(METHODS.upstreams, (body) => this.mergeUpstreams(body));
   }
 
+  /** Publishes the committed state, and heeds the evacuated data centres here. */
+  private applyState(): void {
+    const { revision, dataCentres } = this.state.evacuation;
+    if (revision !== this.evacuationRevision) {
+      this.evacuationRevision = revision;
+      this.table.setEvacuated(dataCentres);
+      this.placement.updateEngines();
+      this.options.logger.info({ revision, dataCentres }, 'evacuated data centres changed');
+    }
+    this.publisher.pushState();
+  }
+
+  /**
+   * Returns false if a data centre certainly does not exist: the settings name others, and nothing
+   * is known to be there. Settings may be older than a new data centre.
+   */
+  private mayExist(dataCentre: string): boolean {
+    if (this.dataCentres.length === 0) return true;
+    const known = [
+      ...this.dataCentres,
+      ...this.state.evacuation.dataCentres,
+      ...this.table.getRecords().map((record) => record.dataCentre),
+    ];
+    return known.includes(dataCentre);
+  }
+
   private handleJoin({ id, address }: JoinRequest): JoinResponse {
     const { replica } = this;
     const leader = replica?.getLeaderAddress() ?? null;
@@ -490,7 +554,7 @@
   private async runConfigurationPushes(): Promise<void> {
     while (!this.isStopped) {
       await this.waitForReplicaChange();
-      this.publisher.pushConfiguration();
+      this.publisher.pushState();
     }
   }
 
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -5,6 +5,7 @@
 import type { Configuration, Service } from '../configuration/index.js';
 import type { Findings } from '../findings/index.js';
 import type { CallHandler, Link } from '../links/index.js';
+import { EVACUATED_REFUSAL } from './Evacuations.js';
 import { METHODS } from './messages.js';
 import type {
   PlacedJob,
@@ -102,10 +103,20 @@
     });
   }
 
+  /** Applies a change of the evacuated data centres: queued jobs go to other engines, if any. */
+  updateEngines(): void {
+    const { table } = this.options;
+    for (const [service, scheduler] of this.schedulers) {
+      scheduler.setEngines(table.getReady(service));
+      if (table.isEvacuated(service)) scheduler.refuseQueued(EVACUATED_REFUSAL);
+    }
+  }
+
   private place(job: EngineJob, link: Link): EngineDecision {
     const scheduler = this.getScheduler(job.service);
     // Also thrown while there is no configuration, or none with an engine profile for the service.
     if (!scheduler) throw new Error(`no engines known for service ${job.service}`);
+    if (this.options.table.isEvacuated(job.service)) return EVACUATED_REFUSAL;
     this.attach(link);
     this.recordDecision();
     scheduler.setEngines(this.options.table.getReady(job.service));
--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -27,6 +27,8 @@
   link: Link;
   /** Monotonic time since which its configuration is not the latest one. */
   behindSince: number | undefined;
+  /** Revision of the evacuations that it was sent. */
+  evacuationRevision: number | undefined;
 }
 
 /** Time limit in milliseconds for subscribers to confirm a changed upstream. */
@@ -60,7 +62,12 @@
 
   /** Adds a subscriber and sends it the current state. */
   addSubscriber(subscription: Subscription, link: Link): void {
-    const subscriber: Subscriber = { ...subscription, link, behindSince: undefined };
+    const subscriber: Subscriber = {
+      ...subscription,
+      link,
+      behindSince: undefined,
+      evacuationRevision: undefined,
+    };
     this.subscribers.add(subscriber);
     link.subscribe(({ method, body }) => {
       if (method === METHODS.applied)
@@ -75,7 +82,7 @@
     });
     // Before the configuration, without which an entry process serves no requests.
     link.notify(METHODS.findings, this.options.findings.getAll());
-    this.pushConfigurationTo(subscriber);
+    this.pushStateTo(subscriber);
     this.pushClusterTo([subscriber]);
     this.pushClusterSoon();
   }
@@ -85,9 +92,12 @@
     return this.getEntrySubscribers().length;
   }
 
-  /** Sends the latest configuration to the entry processes that do not have it yet. */
-  pushConfiguration(): void {
-    this.getEntrySubscribers().forEach((subscriber) => this.pushConfigurationTo(subscriber));
+  /**
+   * Sends the latest configuration to the entry processes that do not have it yet, and the evacuated
+   * data centres to those that were not sent them.
+   */
+  pushState(): void {
+    this.getEntrySubscribers().forEach((subscriber) => this.pushStateTo(subscriber));
   }
 
   /** Sends a changed upstream to all subscribers. */
@@ -175,15 +185,23 @@
     return [...this.subscribers].filter(({ kind }) => kind === 'entry');
   }
 
+  private pushStateTo(subscriber: Subscriber): void {
+    if (subscriber.kind !== 'entry' || !this.options.isRecent()) return;
+    // Before the configuration, without which an entry process serves no requests.
+    this.pushEvacuationsTo(subscriber);
+    this.pushConfigurationTo(subscriber);
+  }
+
+  private pushEvacuationsTo(subscriber: Subscriber): void {
+    const { evacuation } = this.options.state;
+    if (subscriber.evacuationRevision === evacuation.revision) return;
+    subscriber.link.notify(METHODS.evacuations, evacuation);
+    Object.assign(subscriber, { evacuationRevision: evacuation.revision });
+  }
+
   private pushConfigurationTo(subscriber: Subscriber): void {
     const { current } = this.options.state;
-    if (
-      !current ||
-      !this.options.isRecent() ||
-      subscriber.kind !== 'entry' ||
-      subscriber.version >= current.version ||
-      this.isServedByOther(subscriber)
-    )
+    if (!current || subscriber.version >= current.version || this.isServedByOther(subscriber))
       return;
     if (this.deflated?.version !== current.version)
       this.deflated = { version: current.version, bytes: deflateRawSync(current.document) };
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -13,6 +13,8 @@
   subscribe: 'subscribe',
   upstreams: 'upstreams',
   configuration: 'configuration',
+  evacuate: 'evacuate',
+  evacuations: 'evacuations',
   cluster: 'cluster',
   place: 'place',
   placed: 'placed',
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -6,6 +6,7 @@
 import { Findings } from '../findings/index.js';
 import { RoutingTable } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
+import type { EvacuationUpdate } from '../control/Evacuations.js';
 import type { ClusterUpdate, ConfigurationUpdate, UpstreamUpdate } from '../control/messages.js';
 
 export interface ClusterViewOptions {
@@ -25,6 +26,9 @@
 
   routing: RoutingTable | undefined;
 
+  /** The evacuated data centres; undefined until a control process has named them. */
+  evacuation: EvacuationUpdate | undefined;
+
   private readonly departureSubject = new Subject<UpstreamRecord>();
 
   /** Departures that this process learned from upstreams, which are to be told to others. */
@@ -56,6 +60,16 @@
     this.options.logger.info({ version: this.version }, 'configuration activated');
   }
 
+  /** Heeds the evacuated data centres unless an update of the same or a higher revision came first. */
+  updateEvacuations(update: EvacuationUpdate): void {
+    if (this.evacuation && update.revision <= this.evacuation.revision) return;
+    this.evacuation = update;
+    this.upstreamTable.setEvacuated(update.dataCentres);
+    const { revision, dataCentres } = update;
+    if (revision > 0)
+      this.options.logger.info({ revision, dataCentres }, 'evacuated data centres changed');
+  }
+
   /**
    * Replaces members and leader by those of an update of a later term, or of the current term if the
    * update names a leader. Other updates, such as one of the current term from a control process
--- a/packages/gateway/src/entry/ControlLinks.ts
+++ b/packages/gateway/src/entry/ControlLinks.ts
@@ -1,6 +1,7 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { LinkPool } from '../control/LinkPool.js';
+import type { EvacuationUpdate } from '../control/Evacuations.js';
 import { METHODS } from '../control/messages.js';
 import type {
   AppliedConfiguration,
@@ -95,6 +96,7 @@
       if (method === METHODS.upstreams) view.mergeUpstreams(body as UpstreamUpdate);
       else if (method === METHODS.configuration)
         this.updateConfiguration(body as ConfigurationUpdate);
+      else if (method === METHODS.evacuations) view.updateEvacuations(body as EvacuationUpdate);
       else if (method === METHODS.findings) view.findings.merge(body as FindingsUpdate);
       else if (method === METHODS.cluster) this.updateCluster(body as ClusterUpdate);
     } catch (error) {
--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -80,6 +80,18 @@
       'Upstreams that take work',
       () => view.upstreamTable.getRecords().filter(({ state }) => state === 'ready').length,
     );
+    addGauge(
+      registry,
+      'data_centres_evacuated',
+      'Data centres whose upstreams get no new requests',
+      () => view.evacuation?.dataCentres.length ?? 0,
+    );
+    addGauge(
+      registry,
+      'evacuation_revision',
+      'Number of evacuations and returns in force',
+      () => view.evacuation?.revision ?? 0,
+    );
     addGauge(
       registry,
       'prompt_parts_quarantined',
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
+import { EVACUATED_REFUSAL } from '../control/Evacuations.js';
 import type { PermitClient } from './PermitClient.js';
 import type { ShortPromptEngines } from './ShortPromptEngines.js';
 import type { Placement, PlacementRequest, Placer, PlacementHandle } from './Placement.js';
@@ -41,7 +42,8 @@
   constructor(private readonly options: LeastLoadedPlacerOptions) {}
 
   async place(request: PlacementRequest, signal: AbortSignal): Promise<Placement> {
-    const { startupGate, permits } = this.options;
+    const { startupGate, permits, view } = this.options;
+    if (view.upstreamTable.isEvacuated(request.service)) return EVACUATED_REFUSAL;
     const ranked = await startupGate.wait(() => this.rank(request), signal);
     const best = ranked?.[0];
     if (!ranked || !best) return this.refuse(request);
--- a/packages/gateway/src/entry/ScheduledPlacer.ts
+++ b/packages/gateway/src/entry/ScheduledPlacer.ts
@@ -2,6 +2,7 @@
 import { MAX_QUARANTINE_RETRY_MS } from '@azurecart/scheduling';
 import type { EngineDecision, EngineHelper, EngineJob } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
+import { EVACUATED_REFUSAL } from '../control/Evacuations.js';
 import { METHODS } from '../control/messages.js';
 import type { ShortPromptEnginesUpdate, QueuedJobDecision } from '../control/messages.js';
 import type { Link, Notification } from '../links/index.js';
@@ -65,6 +66,7 @@
     const { view, fallback, schedulers } = this.options;
     const hasEngine = view.routing?.getService(request.service)?.engine !== undefined;
     if (!hasEngine || request.promptTokens === 0) return fallback.place(request, signal);
+    if (view.upstreamTable.isEvacuated(request.service)) return EVACUATED_REFUSAL;
     const verdict = view.findings.poison.judge(request.parts);
     if (verdict.kind === 'quarantined') return refuseQuarantined(verdict.retryAfterMs);
     const job = this.createJob(request);
@@ -251,7 +253,7 @@
     const { upstreamTable } = this.options.view;
     return helpers.flatMap(({ engine, heldTokens }) => {
       const upstream = upstreamTable.getUpstream(engine);
-      return upstream?.state === 'ready' ? [{ upstream, heldTokens }] : [];
+      return upstream && upstreamTable.isOpen(engine) ? [{ upstream, heldTokens }] : [];
     });
   }
 
--- a/packages/gateway/src/entry/UpstreamStatements.ts
+++ b/packages/gateway/src/entry/UpstreamStatements.ts
@@ -61,11 +61,12 @@
 
   /**
    * Returns true if a request may be sent to an upstream. It may have left, or asked for a pause,
-   * since the request was placed.
+   * since the request was placed, or its data centre may have been evacuated.
    */
   isOpen(upstream: UpstreamRecord): boolean {
-    const known = this.options.view.upstreamTable.getUpstream(upstream.id);
-    return known?.state === 'ready' && this.getWaitMs(known) === 0;
+    const { upstreamTable } = this.options.view;
+    const known = upstreamTable.getUpstream(upstream.id);
+    return known !== undefined && upstreamTable.isOpen(known.id) && this.getWaitMs(known) === 0;
   }
 
   /** Removes the statements of upstreams that are no longer known. */
--- a/packages/gateway/src/settings/GatewaySettings.ts
+++ b/packages/gateway/src/settings/GatewaySettings.ts
@@ -33,6 +33,10 @@
   operators: addressSchema.describe('address for operators and upstreams'),
   dataFolder: z.string().describe('directory for durable state'),
   isFirstStart: z.boolean().describe('true only when the whole system starts for the first time'),
+  dataCentres: z
+    .array(z.string())
+    .default([])
+    .describe('all data centres; if there are any, an order for another one is refused'),
   toleratedLosses: z.number().int().describe('control VMs that may be lost at the same time'),
 });
 
--- a/packages/gateway/tests/control/ControlCluster.ts
+++ b/packages/gateway/tests/control/ControlCluster.ts
@@ -64,6 +64,7 @@
         seeds: SEEDS,
         logLevel: 'error',
         operators: `${getHost(index)}:0`,
+        dataCentres: [],
         dataFolder: join(this.folder, options.disk ?? String(index)),
         isFirstStart: options.isFirstStart ?? false,
         toleratedLosses: 2,
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -5,6 +5,7 @@
 import { UpstreamTable } from '@azurecart/discovery';
 import type { EngineDecision, EngineJob } from '@azurecart/scheduling';
 import { METHODS } from '../../src/control/messages.js';
+import type { QueuedJobDecision } from '../../src/control/messages.js';
 import { PlacementService } from '../../src/control/PlacementService.js';
 import { Findings } from '../../src/findings/index.js';
 import { Link } from '../../src/links/index.js';
@@ -64,7 +65,7 @@
     service.stop();
     server.close();
   };
-  return { service, findings, connectLink, place, stop };
+  return { service, table, findings, connectLink, place, stop };
 }
 
 test('releasing a running job places the next queued job', async () => {
@@ -117,3 +118,61 @@
   link.close();
   stop();
 });
+
+/** Gets the next decision on a queued job that arrives on a link. */
+function awaitDecision(link: Link): Promise<QueuedJobDecision> {
+  return new Promise((resolve) => {
+    link.subscribe(({ method, body }) => {
+      if (method === METHODS.placed) resolve(body as QueuedJobDecision);
+    });
+  });
+}
+
+test('a job that waits for an evacuated data centre is placed in another one', async () => {
+  const { service, table, connectLink, place, stop } = await startService();
+  const link = connectLink();
+  assert.equal(await place(link, '1'), 'placed');
+  assert.equal(await place(link, '2'), 'queued');
+  const decision = awaitDecision(link);
+  const record = { id: 'f', bornAt: 1, sequence: 1, service: 's', address: 'b', dataCentre: 'x' };
+  table.merge({ ...record, capacity: 1, state: 'ready' });
+  table.setEvacuated(['d']);
+  service.updateEngines();
+  assert.deepEqual(await decision, {
+    id: '2',
+    decision: { ...(await decision).decision, kind: 'placed', engine: 'f' },
+  });
+  link.close();
+  stop();
+});
+
+test('with all data centres evacuated, waiting jobs and new ones are refused at once', async () => {
+  const { service, table, connectLink, place, stop } = await startService();
+  const link = connectLink();
+  assert.equal(await place(link, '1'), 'placed');
+  assert.equal(await place(link, '2'), 'queued');
+  const decision = awaitDecision(link);
+  table.setEvacuated(['d']);
+  service.updateEngines();
+  assert.equal((await decision).decision.kind, 'refused');
+  assert.equal(await place(link, '3'), 'refused');
+  link.close();
+  stop();
+});
+
+// Guards against jobs beside those that still run when a data centre is taken back early.
+test('jobs that run in an evacuated data centre count when it is taken back', async () => {
+  const { service, table, connectLink, place, stop } = await startService();
+  const link = connectLink();
+  assert.equal(await place(link, '1'), 'placed');
+  table.setEvacuated(['d']);
+  service.updateEngines();
+  table.setEvacuated([]);
+  service.updateEngines();
+  assert.equal(await place(link, '2'), 'queued');
+  const decision = awaitDecision(link);
+  link.notify(METHODS.release, { id: '1' });
+  assert.equal((await decision).decision.kind, 'placed');
+  link.close();
+  stop();
+});
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -211,3 +211,41 @@
   assert.ok(shortPromptEngines.getCost(REQUEST, 'e1') < shortPromptEngines.getCost(REQUEST, 'e3'));
   stop();
 });
+
+// Guards against a scheduler that does not know of an evacuation yet.
+test('a decision for an upstream in an evacuated data centre is not used', async () => {
+  const { schedulers, placer, view, stop } = await startPlacer();
+  const other = { id: 'f', bornAt: 1, sequence: 1, service: 's', address: 'b:1', capacity: 4 };
+  view.upstreamTable.merge({ ...other, dataCentre: 'x', state: 'ready' });
+  view.updateEvacuations({ revision: 1, dataCentres: ['d'] });
+  const placement = await placer.place(REQUEST, new AbortController().signal);
+  assert.equal(placement.kind === 'placed' && placement.upstream.id, 'f');
+  await sleep(50);
+  assert.ok(schedulers[0].received.includes(METHODS.release));
+  stop();
+});
+
+test('a decision with a helper in an evacuated data centre is not used', async () => {
+  const { schedulers, placer, view, stop } = await startPlacer();
+  const helper = { id: 'f', bornAt: 1, sequence: 1, service: 's', address: 'b:1', capacity: 4 };
+  view.upstreamTable.merge({ ...helper, dataCentre: 'x', state: 'ready' });
+  view.updateEvacuations({ revision: 1, dataCentres: ['x'] });
+  schedulers[0].respond = async () => ({
+    kind: 'placed',
+    engine: 'e',
+    helpers: [{ engine: 'f', heldTokens: 9 }],
+    expectedMs: 50,
+  });
+  const placement = await placer.place(REQUEST, new AbortController().signal);
+  assert.deepEqual(placement.kind === 'placed' && placement.helpers, []);
+  stop();
+});
+
+test('schedulers are not asked while all upstreams are in evacuated data centres', async () => {
+  const { schedulers, placer, view, stop } = await startPlacer();
+  view.updateEvacuations({ revision: 1, dataCentres: ['d'] });
+  const placement = await placer.place(REQUEST, new AbortController().signal);
+  assert.equal(placement.kind, 'refused');
+  assert.ok(!schedulers[0].received.includes(METHODS.place));
+  stop();
+});
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -75,6 +75,9 @@
 export class EngineScheduler {
   private readonly loads = new Map<string, EngineLoad>();
 
+  /** Engines that accept no jobs any more, with the jobs that still run there. */
+  private readonly withdrawn = new Map<string, EngineLoad>();
+
   private readonly health = new EngineHealth();
 
   private readonly trials = new PartTrials();
@@ -111,15 +114,22 @@
   }
 
   /**
-   * Sets the engines that accept jobs. Other engines are discarded together with their jobs and
-   * health records, so an engine that returns starts without avoidance.
+   * Sets the engines that accept jobs. The health records of others are discarded, so an engine that
+   * returns starts without avoidance, and with those of its jobs that still run.
    */
   setEngines(engines: EngineDescriptor[]): void {
     const wanted = new Set(engines.map((engine) => engine.id));
-    for (const id of this.loads.keys()) if (!wanted.has(id)) this.loads.delete(id);
+    for (const [id, load] of this.loads) {
+      if (wanted.has(id)) continue;
+      this.loads.delete(id);
+      if (load.size > 0) this.withdrawn.set(id, load);
+    }
     this.health.retain((id) => wanted.has(id));
     for (const engine of engines) {
-      if (!this.loads.has(engine.id)) this.loads.set(engine.id, new EngineLoad(engine, this.model));
+      if (this.loads.has(engine.id)) continue;
+      const load = this.withdrawn.get(engine.id) ?? new EngineLoad(engine, this.model);
+      this.loads.set(engine.id, load);
+      this.withdrawn.delete(engine.id);
     }
     this.decideQueued();
   }
@@ -173,6 +183,10 @@
       if (load.markDecoding(id)) this.health.recordResponse(engine);
       load.markDecoding(getHelperJobId(id));
     }
+    for (const load of this.withdrawn.values()) {
+      load.markDecoding(id);
+      load.markDecoding(getHelperJobId(id));
+    }
     this.decideQueued();
   }
 
@@ -200,6 +214,11 @@
       if (isOwn) this.health.recordEnding(engine, id, faultyHelperId ? 'orderly' : ending, now);
       load.remove(getHelperJobId(id));
     }
+    for (const [engine, load] of this.withdrawn) {
+      load.remove(id);
+      load.remove(getHelperJobId(id));
+      if (load.size === 0) this.withdrawn.delete(engine);
+    }
     this.decideQueued();
   }
 
@@ -220,6 +239,13 @@
     }
   }
 
+  /** Refuses all queued jobs, as no engine is left to wait for. */
+  refuseQueued(refusal: Extract<EngineDecision, { kind: 'refused' }>): void {
+    const refused = this.queue;
+    this.queue = [];
+    refused.forEach(({ job }) => this.options.onDecided(job.id, refusal));
+  }
+
   private decide(waiting: WaitingJob, now: number): EngineDecision {
     const { job, arrivedAt, deadlineAt } = waiting;
     const waitedMs = now - arrivedAt;
