--- a/packages/fakes/src/soak/Bounds.ts
+++ b/packages/fakes/src/soak/Bounds.ts
@@ -9,6 +9,8 @@
   configurationApplyMs: 2000,
   rollbackSlackMs: 250,
   acknowledgementMs: 4000,
+  /** Time after which an evacuated data centre gets no more requests. */
+  evacuateMs: 5000,
   recoveryMs: 12_000,
   /** Prompts with a part that has ended five runners that may still be sent. */
   poisonedRequests: 3,
--- a/packages/fakes/src/soak/RunnerFleet.ts
+++ b/packages/fakes/src/soak/RunnerFleet.ts
@@ -12,6 +12,7 @@
   /** Name of the slot, under which disturbances of the runner and its link are recorded. */
   slot: string;
   service: string;
+  dataCentre: string;
   /** Monotonic time at which a control process acknowledged that the runner drains or is gone. */
   departureAcknowledgedAt: number | undefined;
   hasCrashed: boolean;
@@ -21,6 +22,7 @@
 export interface RunnerSlot {
   name: string;
   service: string;
+  dataCentre: string;
   relay: Relay;
   relayAddress: string;
   current: RunnerLifetime | undefined;
@@ -34,6 +36,10 @@
   record: RecordedRequest;
 }
 
+/** Data centres of runners; the first one has most of them. */
+export const RUNNER_DATA_CENTRES = ['a', 'b'] as const;
+/** Share of the runners in the first data centre. */
+const FIRST_SHARE = 2 / 3;
 const HEARTBEAT_MS = 1000;
 const TOKENS_PER_EVENT = 34;
 const WORK_MS = 40;
@@ -74,7 +80,9 @@
       await relay.start(relayPort, OTHER_HOST);
       const relayAddress = `${OTHER_HOST}:${relayPort}`;
       const name = `runner-${index}`;
-      const slot = { name, service, relay, relayAddress, current: undefined };
+      const isFirst = index < services.length * FIRST_SHARE;
+      const dataCentre = RUNNER_DATA_CENTRES[isFirst ? 0 : 1];
+      const slot = { name, service, dataCentre, relay, relayAddress, current: undefined };
       this.slots.push({ ...slot, isAnnouncing: false });
     }
     await Promise.all(this.slots.map((slot) => this.startRunner(slot)));
@@ -85,7 +93,7 @@
     const runner = await FakeRunner.start({
       id,
       service: slot.service,
-      dataCentre: 'a',
+      dataCentre: slot.dataCentre,
       profile: ENGINE_PROFILE,
       tokensPerEvent: TOKENS_PER_EVENT,
       workMs: WORK_MS,
@@ -104,6 +112,7 @@
       runner,
       slot: slot.name,
       service: slot.service,
+      dataCentre: slot.dataCentre,
       departureAcknowledgedAt: undefined,
       hasCrashed: false,
     };
--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -10,6 +10,7 @@
 import { ClientWorkload } from './ClientWorkload.js';
 import { SERVICES } from './configuration.js';
 import { CORE, Disturbances } from './Disturbances.js';
+import { EvacuationWorkload } from './EvacuationWorkload.js';
 import { GatewayFaults } from './GatewayFaults.js';
 import { LimitWorkload } from './LimitWorkload.js';
 import { OperatorWorkload } from './OperatorWorkload.js';
@@ -41,6 +42,7 @@
 const POISON_SEED_OFFSET = 1_000_003;
 const LIMIT_SEED_OFFSET = 2_000_003;
 const STATEMENT_SEED_OFFSET = 3_000_017;
+const EVACUATION_SEED_OFFSET = 4_000_037;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -135,6 +137,11 @@
       ...observed,
       random: createRandom(STATEMENT_SEED_OFFSET),
     });
+    const evacuations = new EvacuationWorkload({
+      ...observed,
+      controls,
+      random: createRandom(EVACUATION_SEED_OFFSET),
+    });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
@@ -160,6 +167,7 @@
     endStart();
     await runners.start(getServices(this.options.runners ?? DEFAULT_RUNNERS));
     await waitUntilReady(entries);
+    let areFaultsOver = false;
     let isDone = false;
     const isOver = (): boolean => isDone;
     const clientCount = Math.max(MIN_CLIENTS, entries.length * CLIENTS_PER_ENTRY);
@@ -172,11 +180,13 @@
       poison.run(isOver),
       limits.run(isOver),
       statements.run(isOver),
+      evacuations.run(() => areFaultsOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
     const endAt = performance.now() + this.options.minutes * 60_000;
     await schedule.run(faults.createKinds(), FAULT_INTERVAL_MS, () => performance.now() > endAt);
+    areFaultsOver = true;
     const faultsEndedAt = performance.now();
     await sleep(BOUNDS.recoveryMs + FINAL_LOAD_MS);
     await operators.checkFinal();
@@ -188,6 +198,7 @@
     poison.finish();
     limits.finish();
     statements.finish();
+    evacuations.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
