Learn how much each engine takes well from the times to first events

Cause: engines of one service differ in speed, and some slow down before they are full; the scheduler took all for as fast as their profile states. Change: scheduling/src/capacity compares each upstream with its peers for the same kind of requests at the same utilisation; the engine scheduler applies slowdowns and limits to its predictions.

--- a/packages/scheduling/src/engines/EngineLoad.ts
+++ b/packages/scheduling/src/engines/EngineLoad.ts
@@ -53,6 +53,12 @@
 
   private totals: Totals | undefined;
 
+  /** Time that the engine takes, as a multiple of the predicted one. */
+  slowdown = 1;
+
+  /** Number of jobs that the engine takes without slowing down; undefined if not known. */
+  limit: number | undefined;
+
   constructor(
     readonly engine: EngineDescriptor,
     private readonly model: LatencyModel,
@@ -63,7 +69,12 @@
   }
 
   get isFull(): boolean {
-    return this.jobs.size >= this.engine.capacity;
+    return this.jobs.size >= (this.limit ?? this.engine.capacity);
+  }
+
+  /** True while the engine is to be tried with few jobs. */
+  get isRestricted(): boolean {
+    return (this.limit ?? Infinity) < this.engine.capacity;
   }
 
   get decodingCount(): number {
@@ -103,7 +114,7 @@
   getFirstEventMs(prefillMs: number, now: number): number {
     const passWithJobMs = this.model.getPassMs(this.decodingCount + 1, this.heldTokens);
     const remainingPassMs = this.size === 0 ? 0 : passWithJobMs * REMAINING_PASS_SHARE;
-    return remainingPassMs + this.getBacklogMs(now) + prefillMs + passWithJobMs;
+    return (remainingPassMs + this.getBacklogMs(now) + prefillMs + passWithJobMs) * this.slowdown;
   }
 
   /**
@@ -113,7 +124,7 @@
    */
   getDisruptionCost(prefillMs: number, now: number): number {
     const passWithJobMs = this.model.getPassMs(this.decodingCount + 1, this.heldTokens);
-    const expectedPauseMs = passWithJobMs + this.getBacklogMs(now) + prefillMs;
+    const expectedPauseMs = (passWithJobMs + this.getBacklogMs(now) + prefillMs) * this.slowdown;
     let sum = 0;
     for (const { missesPauseLimit, isHelper, job, prefillMs: otherPrefillMs } of this.jobs.values())
       if (!missesPauseLimit && !isHelper && expectedPauseMs > job.pauseMs)
@@ -122,7 +133,7 @@
   }
 
   add(job: EngineJob, demand: EngineDemand, now: number): void {
-    const expectedPauseMs = this.getBacklogMs(now) + demand.prefillMs;
+    const expectedPauseMs = this.getBacklogMs(now) + demand.prefillMs * this.slowdown;
     for (const running of this.jobs.values()) {
       if (running.isDecoding && expectedPauseMs > running.job.pauseMs)
         running.missesPauseLimit = true;
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -1,3 +1,5 @@
+import { FirstEventObserver, NEUTRAL_CAPACITY } from '../capacity/index.js';
+import type { CapacityEstimator } from '../capacity/index.js';
 import { RateLimiter } from '../limits/index.js';
 import { MAX_QUARANTINE_RETRY_MS, PoisonTable } from '../poison/index.js';
 import {
@@ -33,6 +35,8 @@
   poison?: PoisonTable;
   /** Limits that engines have named; without it, they have none. */
   limiter?: RateLimiter;
+  /** Learns how fast engines are; without it, all are as fast as predicted. */
+  capacity?: CapacityEstimator;
 }
 
 /**
@@ -60,6 +64,8 @@
 const LIMIT_PATIENCE = 4;
 /** Time in milliseconds over which the rate of placements is measured. */
 const RATE_WINDOW_MS = 4000;
+/** Time in milliseconds for which a new engine, which may be cold, is not compared with others. */
+const WARM_UP_MS = 3000;
 /** Share of the limits of all engines that a job can count on beside more urgent ones. */
 const MIN_OWN_SHARE = 0.1;
 
@@ -83,6 +89,11 @@
 
   private readonly limiter: RateLimiter;
 
+  private readonly observer: FirstEventObserver | undefined;
+
+  /** Monotonic time in milliseconds from which an engine is compared with others. */
+  private readonly comparableFrom = new Map<string, number>();
+
   private readonly order: OnTimeOrder;
 
   private readonly spareCapacity: SpareCapacity;
@@ -104,6 +115,8 @@
     this.limiter =
       options.limiter ?? new RateLimiter({ now: options.now, getLimit: () => undefined });
     this.poison = options.poison ?? new PoisonTable({ now: options.now });
+    const { capacity: estimator, now } = options;
+    this.observer = estimator && new FirstEventObserver({ estimator, now });
   }
 
   get queueLength(): number {
@@ -117,9 +130,14 @@
   setEngines(engines: EngineDescriptor[]): void {
     const wanted = new Set(engines.map((engine) => engine.id));
     for (const id of this.loads.keys()) if (!wanted.has(id)) this.loads.delete(id);
+    for (const id of this.comparableFrom.keys())
+      if (!wanted.has(id)) this.comparableFrom.delete(id);
     this.health.retain((id) => wanted.has(id));
+    this.options.capacity?.retain((id) => wanted.has(id));
     for (const engine of engines) {
       if (!this.loads.has(engine.id)) this.loads.set(engine.id, new EngineLoad(engine, this.model));
+      if (!this.comparableFrom.has(engine.id))
+        this.comparableFrom.set(engine.id, this.options.now() + WARM_UP_MS);
     }
     this.decideQueued();
   }
@@ -127,6 +145,7 @@
   /** Places or refuses a job, or queues it until it can be placed. */
   place(job: EngineJob): EngineDecision {
     const now = this.options.now();
+    this.applyCapacity();
     const { remainingMs, patienceMs = Infinity } = job;
     const waiting: WaitingJob = {
       job,
@@ -158,7 +177,10 @@
     const prefillMs = this.model.getPrefillMs(job.promptTokens) / (helpers.length + 1);
     const heldByHelpers = helpers.reduce((sum, { heldTokens }) => sum + heldTokens, 0);
     const heldTokens = job.promptTokens - heldByHelpers;
-    this.loads.get(engine)?.add(job, { prefillMs, heldTokens }, now);
+    const load = this.loads.get(engine);
+    if (load && helpers.length === 0 && !isDecoding && ageMs === 0)
+      this.observePlacement(job, load, load.getFirstEventMs(prefillMs, now));
+    load?.add(job, { prefillMs, heldTokens }, now);
     const helperJob = { ...job, id: getHelperJobId(job.id) };
     helpers.forEach(({ engine: id, heldTokens: held }) =>
       this.loads.get(id)?.add(helperJob, { prefillMs, heldTokens: held, isHelper: true }, now),
@@ -170,7 +192,10 @@
   markDecoding(id: string): void {
     this.trials.end(id);
     for (const [engine, load] of this.loads) {
-      if (load.markDecoding(id)) this.health.recordResponse(engine);
+      if (load.markDecoding(id)) {
+        this.health.recordResponse(engine);
+        this.observer?.recordFirstEvent(id, load.size / load.engine.capacity);
+      }
       load.markDecoding(getHelperJobId(id));
     }
     this.decideQueued();
@@ -193,6 +218,7 @@
   release(id: string, ending: JobEnding = 'orderly', faultyHelperId?: string): void {
     const now = this.options.now();
     this.trials.end(id);
+    this.observer?.forget(id);
     if (faultyHelperId !== undefined) this.health.recordEnding(faultyHelperId, id, ending, now);
     this.queue = this.queue.filter(({ job }) => job.id !== id);
     for (const [engine, load] of this.loads) {
@@ -208,6 +234,7 @@
    */
   decideQueued(): void {
     const now = this.options.now();
+    this.applyCapacity();
     const ordered = this.order.sort(this.queue, now);
     this.heldEngines = this.findHeldEngines(ordered, now);
     this.queue = [];
@@ -437,6 +464,7 @@
     const partMs = prefillMs / (helpers.length + 1);
     const engines = [load, ...helpers.map((helper) => helper.load)];
     const expectedMs = Math.max(...engines.map((each) => each.getFirstEventMs(partMs, now)));
+    if (helpers.length === 0) this.observePlacement(job, load, expectedMs);
     load.add(job, { prefillMs: partMs, heldTokens }, now);
     this.health.recordJob(load.engine.id, job.id);
     this.limiter.recordSend(load.engine.id);
@@ -462,6 +490,31 @@
     };
   }
 
+  /** Applies what is known of the speeds of engines to the predictions. */
+  private applyCapacity(): void {
+    const { capacity = NEUTRAL_CAPACITY } = this.options;
+    for (const load of this.loads.values()) {
+      load.slowdown = capacity.getSlowdown(load.engine.id);
+      load.limit = capacity.getLimit(load.engine.id, load.engine.capacity);
+    }
+  }
+
+  /**
+   * Has the time to the first event of a job compared with the predicted one, unless the engine may
+   * be cold or has a limit, which explain a delay.
+   */
+  private observePlacement(job: EngineJob, load: EngineLoad, expectedMs: number): void {
+    const { id, capacity } = load.engine;
+    const isCold = this.options.now() < (this.comparableFrom.get(id) ?? 0);
+    if (isCold || this.hasLimit(load)) return;
+    this.observer?.recordPlacement(job.id, {
+      engine: id,
+      kind: this.isLong(job) ? 'long' : 'short',
+      expectedMs: expectedMs / load.slowdown,
+      utilisation: (load.size + 1) / capacity,
+    });
+  }
+
   /**
    * Returns true when a new job must wait for queued ones of the same or a higher priority, because
    * all engines have a limit. Otherwise it would take the turn of one that waits for it.
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -71,3 +71,8 @@
   }
   return best;
 }
+
+/** Sorts engines so that slower ones come later; equal ones keep their order. */
+export function sortBySlowdown(loads: EngineLoad[]): EngineLoad[] {
+  return [...loads].sort((a, b) => a.slowdown - b.slowdown);
+}
--- a/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
@@ -1,12 +1,20 @@
 import { getLossCost } from '../EngineLoad.js';
 import type { EngineLoad } from '../EngineLoad.js';
-import { minBy, MAX_HELPER_FAILURE_RATE, OBJECTIVE_SHARE, PREFILL_SHARE } from './EngineChoice.js';
+import {
+  minBy,
+  sortBySlowdown,
+  MAX_HELPER_FAILURE_RATE,
+  OBJECTIVE_SHARE,
+  PREFILL_SHARE,
+} from './EngineChoice.js';
 import type { ChoiceContext, EngineChoice, HelperChoice } from './EngineChoice.js';
 
 /** Cost of an engine in another data centre, as a fraction of a failed or late request. */
 const LONG_PROMPT_DISTANCE_COST = 0.1;
 /** Cost of an engine without a limit while others have one, in the same terms. */
 const UNLIMITED_ENGINE_COST = 0.5;
+/** Cost of an engine that may be slow, in the same terms. */
+const RESTRICTED_ENGINE_COST = 0.2;
 /** Maximum number of engines that help to prefill a prompt that does not need several engines. */
 export const MAX_HELPERS = 6;
 
@@ -33,13 +41,15 @@
     (load) =>
       Number(load.engine.dataCentre !== job.dataCentre) * LONG_PROMPT_DISTANCE_COST +
       Number(someHaveLimits && !hasLimit(load)) * UNLIMITED_ENGINE_COST +
+      Number(load.isRestricted) * RESTRICTED_ENGINE_COST +
+      (load.slowdown - 1) +
       getFailureRate(load),
   );
   if (bestIdle) {
     const parts = Math.ceil(prefillMs / (job.objectiveMs * PREFILL_SHARE));
     return {
       load: bestIdle,
-      helpers: getHelpers(bestIdle, limitedFirst.filter(isReliable), parts),
+      helpers: getHelpers(bestIdle, sortBySlowdown(limitedFirst.filter(isReliable)), parts),
       heldTokens,
       isAcceptable: true,
     };
--- a/packages/scheduling/src/engines/choices/chooseMultipleEngines.ts
+++ b/packages/scheduling/src/engines/choices/chooseMultipleEngines.ts
@@ -1,5 +1,10 @@
 import type { EngineLoad } from '../EngineLoad.js';
-import { MAX_HELPER_FAILURE_RATE, PREFILL_SHARE, MIN_DECODE_MS } from './EngineChoice.js';
+import {
+  MAX_HELPER_FAILURE_RATE,
+  sortBySlowdown,
+  PREFILL_SHARE,
+  MIN_DECODE_MS,
+} from './EngineChoice.js';
 import type { ChoiceContext, EngineChoice } from './EngineChoice.js';
 
 /** Maximum number of engines that prefill one prompt, including the first one. */
@@ -28,9 +33,8 @@
     (load) => load.size === 0 && getFailureRate(load) < MAX_HELPER_FAILURE_RATE,
   );
   const isFar = ({ engine }: EngineLoad): number => Number(engine.dataCentre !== job.dataCentre);
-  const idle = reliable
-    .sort((a, b) => Number(hasLimit(b)) - Number(hasLimit(a)) || isFar(a) - isFar(b))
-    .slice(0, MAX_ENGINES_PER_PROMPT);
+  reliable.sort((a, b) => Number(hasLimit(b)) - Number(hasLimit(a)) || isFar(a) - isFar(b));
+  const idle = sortBySlowdown(reliable).slice(0, MAX_ENGINES_PER_PROMPT);
   if (idle.length < holders) return undefined;
   const meetsObjective = prefillMs / idle.length < slackMs;
   const isServable = prefillMs / idle.length + MIN_DECODE_MS < remainingMs;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,7 @@
  */
 export * from './admission/index.js';
 export * from './budget/index.js';
+export * from './capacity/index.js';
 export * from './engines/index.js';
 export * from './handover/index.js';
 export * from './ledger/index.js';
--- a/packages/scheduling/tests/engines/EngineSimulation.ts
+++ b/packages/scheduling/tests/engines/EngineSimulation.ts
@@ -73,6 +73,14 @@
 /** Share of requests on time, keyed by the objective of the requests in milliseconds. */
 export type OnTimeShares = Map<number, number>;
 
+/** Options of an {@link EngineSimulation}. */
+export interface EngineSimulationOptions {
+  /** Gets the time that an engine with a number of jobs takes, as a multiple of the modelled one. */
+  getSlowdown?: (engine: string, jobs: number, at: number) => number;
+  /** Notifies the policy of events when they are emitted; otherwise as soon as their pass begins. */
+  notifiesOnTime?: boolean;
+}
+
 /**
  * Simulates engines that prefill prompts between the decode steps of a pass. A pass takes as long
  * as its decode steps plus the prefill that fits into it.
@@ -88,7 +96,12 @@
 
   private policy: SchedulingPolicy | undefined;
 
-  constructor(engines: string[]) {
+  private notifications: { at: number; notify: () => void }[] = [];
+
+  constructor(
+    engines: string[],
+    private readonly options: EngineSimulationOptions = {},
+  ) {
     engines.forEach((id) => this.engines.set(id, { freeAt: 0, jobs: [] }));
   }
 
@@ -112,7 +125,8 @@
     const endAt = (pending.at(-1)?.atMs ?? 0) + 20_000;
     for (; this.now < endAt; this.now += 1) {
       while (pending[0] && pending[0].atMs <= this.now) this.start(pending.shift());
-      this.engines.forEach((engine) => this.advance(engine));
+      this.sendNotifications();
+      this.engines.forEach((engine, id) => this.advance(id, engine));
       if (this.now % 20 === 0) tick();
     }
     return this.getShares(arrivals, ({ job }) => job.objectiveMs);
@@ -136,7 +150,18 @@
     if (decision) this.decide(arrival.job.id, decision);
   }
 
-  private advance(engine: { freeAt: number; jobs: SimulatedJob[] }): void {
+  private sendNotifications(): void {
+    const due = this.notifications.filter(({ at }) => at <= this.now);
+    this.notifications = this.notifications.filter(({ at }) => at > this.now);
+    due.forEach(({ notify }) => notify());
+  }
+
+  private notify(at: number, notify: () => void): void {
+    if (this.options.notifiesOnTime) this.notifications.push({ at, notify });
+    else notify();
+  }
+
+  private advance(id: string, engine: { freeAt: number; jobs: SimulatedJob[] }): void {
     if (this.now < engine.freeAt || engine.jobs.length === 0) return;
     const engineState = engine;
     const decodingJobs = engineState.jobs.filter((job) => job.isPrefilled && !job.isHelper);
@@ -144,11 +169,14 @@
     const passMs = this.model.getPassMs(decodingJobs.length, tokens);
     let budgetMs = PREFILL_PER_PASS_MS;
     for (const job of engineState.jobs) budgetMs -= job.prefill(budgetMs);
-    engineState.freeAt = this.now + passMs + (PREFILL_PER_PASS_MS - budgetMs);
+    const slowdown = this.options.getSlowdown?.(id, engineState.jobs.length, this.now) ?? 1;
+    engineState.freeAt = this.now + (passMs + (PREFILL_PER_PASS_MS - budgetMs)) * slowdown;
     for (const job of engineState.jobs.filter(
       ({ isPrefilled, isHelper }) => isPrefilled && !isHelper,
     )) {
-      if (job.emittedEvents === 0) this.policy?.markDecoding(job.arrival.job.id);
+      const { id: jobId } = job.arrival.job;
+      if (job.emittedEvents === 0)
+        this.notify(engineState.freeAt, () => this.policy?.markDecoding(jobId));
       job.emitEvent(engineState.freeAt);
     }
     const done = engineState.jobs.filter(isDone);
@@ -157,7 +185,7 @@
     for (const { arrival, isHelper, isLate } of done) {
       if (isHelper) continue;
       if (!isLate) this.onTimeIds.add(arrival.job.id);
-      this.policy?.release(arrival.job.id);
+      this.notify(engineState.freeAt, () => this.policy?.release(arrival.job.id));
     }
   }
 }
