Share the durations of plain requests, and place fewer of them on slow upstreams

Cause: an entry process sees too few requests of a service without engines to tell a slow upstream from a long request, and places by its own requests in flight alone. Change: entry processes report totals of durations once a second to the active scheduler, which compares the upstreams and names the slow ones; LeastLoadedPlacer counts requests in flight by the slowdown and lets a few requests ignore it.

--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -5,8 +5,10 @@
 import type { Configuration, Service } from '../configuration/index.js';
 import type { Findings } from '../findings/index.js';
 import type { CallHandler, Link } from '../links/index.js';
+import { CapacityService } from './CapacityService.js';
 import { METHODS } from './messages.js';
 import type {
+  DurationsReport,
   PlacedJob,
   PermittedSend,
   JobUpdate,
@@ -39,6 +41,8 @@
 const QUEUE_INTERVAL_MS = 20;
 /** Interval in milliseconds between notifications of the engines that serve short prompts. */
 const SHORT_PROMPT_ENGINES_INTERVAL_MS = 1000;
+/** Interval in milliseconds between notifications of upstreams that are slower than their peers. */
+const SLOWDOWNS_INTERVAL_MS = 1000;
 
 /**
  * Schedules prompts on engines for the entry processes that select this process as a scheduler.
@@ -54,6 +58,8 @@
 
   private readonly permitQueue: PermitQueue;
 
+  private readonly capacity: CapacityService;
+
   private decidedAt = -Infinity;
 
   private readonly timers: NodeJS.Timeout[];
@@ -68,9 +74,11 @@
     const getLimit = (upstream: string) => options.findings.limits.getLimit(upstream);
     this.limiter = new RateLimiter({ now, getLimit });
     this.permitQueue = new PermitQueue({ now, limiter: this.limiter });
+    this.capacity = new CapacityService(options);
     this.timers = [
       setInterval(() => this.decideQueued(), QUEUE_INTERVAL_MS),
       setInterval(() => this.sendShortPromptEngines(), SHORT_PROMPT_ENGINES_INTERVAL_MS),
+      setInterval(() => this.capacity.publish(this.entryLinks), SLOWDOWNS_INTERVAL_MS),
     ];
   }
 
@@ -95,6 +103,7 @@
       else if (method === METHODS.progress) this.handleProgress((body as JobUpdate).id);
       else if (method === METHODS.release) this.release(body as JobUpdate);
       else if (method === METHODS.sent) this.limiter.recordSend((body as PermittedSend).upstream);
+      else if (method === METHODS.durations) this.handleDurations(body as DurationsReport, link);
     });
     link.closed.then(() => {
       this.entryLinks.delete(link);
@@ -141,6 +150,14 @@
     known.scheduler.markDecoding(id);
   }
 
+  private handleDurations(report: DurationsReport, link: Link): void {
+    // Engines are compared by the first events of their prompts.
+    const service = this.getService(report.service);
+    if (!service || service.engine) return;
+    this.entryLinks.add(link);
+    this.capacity.recordDurations(report);
+  }
+
   private release({ id, ending, culprit: faultyHelperId }: JobUpdate): void {
     const known = this.jobs.get(id);
     if (!known) return;
@@ -163,6 +180,7 @@
       onDecided: (id, decision) => this.sendDecision(id, decision),
       poison: this.options.findings.poison,
       limiter: this.limiter,
+      capacity: this.capacity.getEstimator(service, true),
     });
     this.schedulers.set(service, scheduler);
     return scheduler;
--- a/packages/gateway/src/control/messages.ts
+++ b/packages/gateway/src/control/messages.ts
@@ -23,6 +23,8 @@
   findings: 'findings',
   permit: 'permit',
   sent: 'sent',
+  durations: 'durations',
+  slowdowns: 'slowdowns',
   applied: 'applied',
 } as const;
 
@@ -119,6 +121,22 @@
   upstream: string;
 }
 
+/** Durations of requests that an entry process has observed since its last report. */
+export interface DurationsReport {
+  service: string;
+  /** Names of the kinds of requests, to which `totals` refer by index. */
+  kinds: string[];
+  /** Upstream, index of the kind, count, sum of the natural logarithms, and sum of their squares. */
+  totals: [string, number, number, number, number][];
+}
+
+/** Upstreams of a service that are slower or faster than their peers; all others are like them. */
+export interface SlowdownsUpdate {
+  service: string;
+  /** Upstream and the time that it takes as a multiple of that of its peers. */
+  slowdowns: [string, number][];
+}
+
 /** Engines that serve short prompts, for entry processes that place jobs without a scheduler. */
 export interface ShortPromptEnginesUpdate {
   service: string;
--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -16,6 +16,8 @@
   registry: Registry;
   view: ClusterView;
   getOpenRequestCount: () => number;
+  /** Gets the number of upstreams that are slower than their peers. */
+  getSlowUpstreamCount?: () => number;
   /** Memory for bodies by the kind of message. */
   memory: { request: MemoryBudget; response: MemoryBudget };
 }
@@ -32,7 +34,13 @@
 
   private readonly handovers: Counter;
 
-  constructor({ registry, view, getOpenRequestCount, memory }: EntryMetricsOptions) {
+  constructor({
+    registry,
+    view,
+    getOpenRequestCount,
+    getSlowUpstreamCount = () => 0,
+    memory,
+  }: EntryMetricsOptions) {
     const registers = [registry];
     this.requests = new Counter({
       name: 'azurecart_gateway_requests_total',
@@ -80,6 +88,7 @@
       'Upstreams that take work',
       () => view.upstreamTable.getRecords().filter(({ state }) => state === 'ready').length,
     );
+    addGauge(registry, 'upstreams_slow', 'Upstreams slower than their peers', getSlowUpstreamCount);
     addGauge(
       registry,
       'prompt_parts_quarantined',
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -19,6 +19,7 @@
 import { RequestHandler } from './RequestHandler.js';
 import { ScheduledPlacer } from './ScheduledPlacer.js';
 import { SchedulerSelector } from './SchedulerSelector.js';
+import { SharedCapacity } from './SharedCapacity.js';
 import { StartupGate } from './StartupGate.js';
 import { RetryBudgetShare } from './RetryBudgetShare.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
@@ -39,6 +40,8 @@
 const POLL_INTERVAL_MS = 20;
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MB = 1024 * 1024;
+/** Interval in milliseconds between reports of the durations of requests. */
+const CAPACITY_REPORT_INTERVAL_MS = 1000;
 /** Share of the memory of the process for bodies of requests, kept until their responses end. */
 const REQUEST_MEMORY_SHARE = 0.2;
 /** Share of the memory of the process for bodies of responses. */
@@ -54,6 +57,10 @@
 
   private readonly statements: UpstreamStatements;
 
+  private readonly schedulers: SchedulerSelector;
+
+  private readonly capacity: SharedCapacity;
+
   private readonly startupGate = new StartupGate();
 
   private readonly registry = new Registry();
@@ -85,17 +92,23 @@
     this.view = new ClusterView({ codec, logger });
     this.statements = new UpstreamStatements({ view: this.view, logger });
     this.controlLinks = new ControlLinks({ settings, view: this.view, logger });
+    const { linkPool } = this.controlLinks;
+    this.schedulers = new SchedulerSelector({ view: this.view, linkPool });
+    const { dataCentre } = settings;
+    this.capacity = new SharedCapacity({ schedulers: this.schedulers, dataCentre });
     this.requestHandler = new RequestHandler({
       protocol,
       health: this.health,
       findings: this.view.findings,
       statements: this.statements,
+      capacity: this.capacity,
       placer: this.createPlacer(),
       agent: new UpstreamAgent(),
       metrics: new EntryMetrics({
         registry: this.registry,
         view: this.view,
         getOpenRequestCount: () => this.openExchanges.size,
+        getSlowUpstreamCount: () => this.capacity.slowCount,
         memory: { request: this.requestMemory, response: this.responseMemory },
       }),
       getRetryBudget: (service) => this.getRetryBudget(service),
@@ -124,6 +137,7 @@
     await listenAt(this.clientServer, settings.front);
     await listenAt(this.monitoringServer, settings.readiness);
     setInterval(() => this.expireUpstreams(), EXPIRY_INTERVAL_MS).unref();
+    setInterval(() => this.capacity.report(), CAPACITY_REPORT_INTERVAL_MS).unref();
     logger.info({ front: settings.front, seeds: settings.seeds }, 'entry started');
   }
 
@@ -159,11 +173,10 @@
   }
 
   private createPlacer(): ScheduledPlacer {
-    const { view, health, statements, controlLinks, startupGate } = this;
+    const { view, health, statements, schedulers, capacity, startupGate } = this;
     const { dataCentre } = this.options.settings;
     const { logger } = this.options;
     const shortPromptEngines = new ShortPromptEngines(view);
-    const schedulers = new SchedulerSelector({ view, linkPool: controlLinks.linkPool });
     return new ScheduledPlacer({
       view,
       schedulers,
@@ -177,6 +190,7 @@
         startupGate,
         permits: new PermitClient({ view, schedulers, logger }),
         dataCentre,
+        capacity,
       }),
       dataCentre,
       logger,
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -1,5 +1,6 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { PermitClient } from './PermitClient.js';
+import type { SharedCapacity } from './SharedCapacity.js';
 import type { ShortPromptEngines } from './ShortPromptEngines.js';
 import type { Placement, PlacementRequest, Placer, PlacementHandle } from './Placement.js';
 import type { StartupGate } from './StartupGate.js';
@@ -18,6 +19,8 @@
   /** Gets leave to send requests to upstreams with a limit. */
   permits: PermitClient;
   dataCentre: string;
+  /** Knows which upstreams are slower than their peers; without it, none is. */
+  capacity?: Pick<SharedCapacity, 'getSlowdown'>;
   /** Random numbers from 0 to 1, which spread requests over equally loaded upstreams. */
   random?: () => number;
 }
@@ -116,8 +119,20 @@
     const { health, shortPromptEngines, dataCentre, random = Math.random } = this.options;
     const remoteCost = upstream.dataCentre === dataCentre ? 0 : REMOTE_COST;
     const failureCost = health.getFailureRate(upstream.id) * FAILURE_COST;
-    const loadCost =
-      health.getInFlight(upstream.id) + shortPromptEngines.getCost(request, upstream.id);
+    const slowdown = this.drawSlowdown(request.service, upstream.id);
+    // A slow upstream counts the request itself as well, so that it costs more when idle.
+    const inFlight = (health.getInFlight(upstream.id) + 1) * slowdown - 1;
+    const loadCost = inFlight + shortPromptEngines.getCost(request, upstream.id);
     return loadCost + remoteCost + failureCost + random() * REMOTE_COST;
   }
+
+  /**
+   * Gets the slowdown of an upstream for one request. A few requests ignore it, by chance so that
+   * not all processes choose the upstream at once; they show whether it is still slow.
+   */
+  private drawSlowdown(service: string, upstream: string): number {
+    const { capacity, random = Math.random } = this.options;
+    const slowdown = Math.max(1, capacity?.getSlowdown(service, upstream) ?? 1);
+    return slowdown > 1 && random() * slowdown ** 2 < 1 ? 1 : slowdown;
+  }
 }
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -22,6 +22,7 @@
 import { PreparedAttempt } from './PreparedAttempt.js';
 import type { RetryBudgetShare } from './RetryBudgetShare.js';
 import { RouteDurations } from './RouteDurations.js';
+import type { SharedCapacity } from './SharedCapacity.js';
 import { UpstreamAttempt } from './UpstreamAttempt.js';
 import type { UpstreamHealth } from './UpstreamHealth.js';
 import type { UpstreamStatements } from './UpstreamStatements.js';
@@ -35,6 +36,8 @@
   health: UpstreamHealth;
   findings: Findings;
   statements: UpstreamStatements;
+  /** Learns the durations of plain requests; without it, they are not recorded. */
+  capacity?: SharedCapacity;
   agent: UpstreamAgent;
   metrics: EntryMetrics;
   getRetryBudget: (service: string) => RetryBudgetShare;
@@ -349,6 +352,7 @@
         abandoned: abandonment.signal,
         beginHandover: () => handover.begin(),
       }).run();
+      if (outcome.kind === 'done') this.recordDuration(context, upstream, sentAt);
       if (!context.signal.aborted) ending = getEnding(outcome);
       if (outcome.kind === 'unknown' && context.lastEventId === lastEventId)
         await this.recordCrash(context, upstream, sentAt);
@@ -364,6 +368,17 @@
     }
   }
 
+  /** Records how long an upstream took, unless the response is a stream of any length. */
+  private recordDuration(
+    { route }: RequestContext,
+    upstream: UpstreamRecord,
+    sentAt: number,
+  ): void {
+    if (route.kind === 'stream') return;
+    const ms = performance.now() - sentAt;
+    this.options.capacity?.recordDuration({ upstream, kind: route.name, ms });
+  }
+
   /**
    * Records that an upstream has ended if it has, before the request is placed again. Waits only
    * briefly, since others than ended upstreams may take long to show that they have not.
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -209,7 +209,7 @@
 }
 
 /** Creates a client without schedulers. */
-function createPermitClient(view: ClusterView): PermitClient {
+export function createPermitClient(view: ClusterView): PermitClient {
   const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
   const schedulers = new SchedulerSelector({ view, linkPool });
   return new PermitClient({ view, schedulers, logger: silentLogger });
--- a/packages/scheduling/src/capacity/CapacityEstimator.ts
+++ b/packages/scheduling/src/capacity/CapacityEstimator.ts
@@ -99,7 +99,8 @@
 
   /** Records what another process has observed. */
   recordSummary(summary: ObservationSummary): void {
-    this.add(summary, 0);
+    const { count, sum, sumOfSquares } = summary;
+    if (count > 0 && [count, sum, sumOfSquares].every(Number.isFinite)) this.add(summary, 0);
   }
 
   getSlowdown(upstream: string): number {
@@ -167,7 +168,10 @@
   private updateReferences(now: number): void {
     this.references.clear();
     const groups = [...this.groups].map(([key, group]) => ({ key, ...group }));
-    groups.forEach(({ samples }) => removeNegligible(samples, now));
+    groups.forEach(({ key, samples }) => {
+      removeNegligible(samples, now);
+      if (samples.size === 0) this.groups.delete(key);
+    });
     const all = this.options.comparesKinds
       ? getReference(
           groups.map(({ samples }) => samples),
