--- a/packages/daemon/src/entry/owner/ShardOwner.ts
+++ b/packages/daemon/src/entry/owner/ShardOwner.ts
@@ -148,10 +148,7 @@
 
   /** Records that a request's prompt has been processed and decoding has begun. */
   markDecoding(request: string): void {
-    for (const engine of this.ledger.getEngines()) {
-      const reservation = engine.getReservation(request);
-      if (reservation) reservation.isDecoding = true;
-    }
+    this.scheduler.markDecoding(request);
   }
 
   /** Handles an announcement, departure or cache events of an upstream. */
--- a/packages/daemon/src/entry/owner/createScheduler.ts
+++ b/packages/daemon/src/entry/owner/createScheduler.ts
@@ -1,4 +1,5 @@
 import {
+  CapacityEstimator,
   LengthAwarePlacement,
   DeadlineAdmission,
   FairQueue,
@@ -20,7 +21,8 @@
 /** Creates the scheduler of a shard for the configured scheduling policy. */
 export function createScheduler(options: CreateSchedulerOptions): Scheduler {
   const { ledger, startWithinMs, getRelease } = options;
-  const shared = { ledger, startWithinMs, now: () => performance.now() };
+  const now = (): number => performance.now();
+  const shared = { ledger, startWithinMs, now };
   if (options.policy === 'baseline') {
     return new Scheduler({
       ...shared,
@@ -30,11 +32,13 @@
       isPreemptive: false,
     });
   }
+  const capacity = new CapacityEstimator({ now, comparesKinds: true });
   return new Scheduler({
     ...shared,
+    capacity,
     queue: new FairQueue(() => getMinimumShares(getRelease())),
     admission: new DeadlineAdmission((priority) => getMinimumShares(getRelease())[priority]),
-    placement: new LengthAwarePlacement(),
+    placement: new LengthAwarePlacement({ capacity }),
     isPreemptive: true,
   });
 }
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -368,13 +368,16 @@
     }
   }
 
-  /** Records how long an upstream took, unless the response is a stream of any length. */
+  /**
+   * Records how long an upstream took, unless the response is a stream of any length or the upstream
+   * has named a limit, which explains a delay.
+   */
   private recordDuration(
-    { route }: RequestContext,
+    { route, upstreamLimit }: RequestContext,
     upstream: UpstreamRecord,
     sentAt: number,
   ): void {
-    if (route.kind === 'stream') return;
+    if (route.kind === 'stream' || upstreamLimit !== undefined) return;
     const ms = performance.now() - sentAt;
     this.options.capacity?.recordDuration({ upstream, kind: route.name, ms });
   }
--- a/packages/scheduling/src/ledger/Reservation.ts
+++ b/packages/scheduling/src/ledger/Reservation.ts
@@ -31,4 +31,6 @@
   isPausing: boolean;
   /** Priority on the engine; lower numbers run first. */
   enginePriority: number;
+  /** Predicted time in milliseconds from the grant to the first token; undefined if not known. */
+  expectedMs?: number;
 }
--- a/packages/scheduling/src/placement/LengthAwarePlacement.ts
+++ b/packages/scheduling/src/placement/LengthAwarePlacement.ts
@@ -1,3 +1,5 @@
+import { NEUTRAL_CAPACITY } from '../capacity/index.js';
+import type { UpstreamCapacity } from '../capacity/index.js';
 import type { Engine, Ledger } from '../ledger/index.js';
 import { getMemoryTokens, WORK_PRIORITIES } from '../workload/index.js';
 import type { WorkItem, WorkPriority } from '../workload/index.js';
@@ -13,6 +15,8 @@
    * a short prompt.
    */
   backlogLimitMs?: number;
+  /** Knows how much work each engine takes well; by default, all are as fast as announced. */
+  capacity?: UpstreamCapacity;
 }
 
 /** Share of an engine's memory and batch slots that each priority leaves to higher ones. */
@@ -41,7 +45,11 @@
   /** Engines held back for a prompt larger than any engine until they have enough free memory. */
   private gang: { work: string; engines: Set<string> } | undefined;
 
-  constructor(private readonly options: LengthAwarePlacementOptions = {}) {}
+  private readonly capacity: UpstreamCapacity;
+
+  constructor(private readonly options: LengthAwarePlacementOptions = {}) {
+    this.capacity = options.capacity ?? NEUTRAL_CAPACITY;
+  }
 
   findPlace(context: PlacementContext): PlacementResult | undefined {
     const { work, ledger } = context;
@@ -68,12 +76,17 @@
     const ranked = fitting
       .map((engine) => ({ engine, delayMs: this.getDelayMs(engine, work, enginePriority, now) }))
       .filter(({ engine }) => this.isBacklogAcceptable(engine, work, enginePriority, now))
-      .sort((a, b) => a.delayMs - b.delayMs);
+      .map(({ engine, delayMs }) => {
+        const slowdown = this.capacity.getSlowdown(engine.id);
+        return { engine, delayMs, cost: delayMs * slowdown };
+      })
+      .sort((a, b) => a.cost - b.cost);
     const best = ranked[0]?.engine;
     if (!best) return undefined;
+    const expectedMs = (ranked[0]?.delayMs ?? 0) + best.capacity.decodeStepMs;
     if (work.priority === 'urgent') this.urgentEngines.recordPlaced(work, now);
     const cachedTokens = this.getCachedTokens(best, work);
-    return { shares: [{ engine: best, tokens }], cachedTokens, enginePriority };
+    return { shares: [{ engine: best, tokens }], cachedTokens, enginePriority, expectedMs };
   }
 
   /** Estimates the time to first token, with a penalty for mixing lengths and priorities. */
@@ -109,7 +122,8 @@
   private canAccept(engine: Engine, context: PlacementContext, tokens: number): boolean {
     const { work, isBelowMinimumShare } = context;
     if (work.avoidedEngines.includes(engine.id)) return false;
-    const { kvTokens, maxBatch } = engine.capacity;
+    const { kvTokens } = engine.capacity;
+    const maxBatch = this.capacity.getLimit(engine.id, engine.capacity.maxBatch);
     const isHeldBackForGang = this.gang?.engines.has(engine.id) ?? false;
     if (isHeldBackForGang && (work.isLong || work.priority === 'batch')) return false;
     const headroom = isBelowMinimumShare ? 0 : HEADROOM_SHARE[work.priority];
--- a/packages/scheduling/src/placement/PlacementPolicy.ts
+++ b/packages/scheduling/src/placement/PlacementPolicy.ts
@@ -14,6 +14,11 @@
   cachedTokens: number;
   /** Priority on the engine; lower numbers run first. */
   enginePriority: number;
+  /**
+   * Predicted time in milliseconds to the first token on an engine that is like its peers; undefined
+   * if the policy makes no prediction.
+   */
+  expectedMs?: number;
 }
 
 /** Input of a placement decision. */
--- a/packages/scheduling/src/scheduler/Scheduler.ts
+++ b/packages/scheduling/src/scheduler/Scheduler.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { NO_ENGINE_REFUSAL } from '../admission/index.js';
 import type { AdmissionPolicy, Refusal } from '../admission/index.js';
+import type { CapacityEstimator } from '../capacity/index.js';
 import type { Engine, Ledger, Reservation } from '../ledger/index.js';
 import type { PlacementResult, PlacementPolicy } from '../placement/index.js';
 import type { QueueCandidate, WorkQueue } from '../queue/index.js';
@@ -31,6 +32,8 @@
   isPreemptive: boolean;
   /** Gets the monotonic time in milliseconds. */
   now: () => number;
+  /** Learns how fast engines are from the first tokens of their requests. */
+  capacity?: CapacityEstimator;
 }
 
 /** A reservation to preempt and the engine that runs it. */
@@ -106,12 +109,36 @@
     return findVictims(first.work, ledger);
   }
 
+  /** Records that a request's prompt has been processed and decoding has begun. */
+  markDecoding(request: string): void {
+    const engines = this.options.ledger.getHoldingEngines(request);
+    for (const engine of engines) {
+      const reservation = engine.getReservation(request);
+      if (!reservation) continue;
+      // The slowest of several engines decides, which is not known.
+      if (engines.length === 1 && !reservation.isDecoding) this.recordTime(engine, reservation);
+      reservation.isDecoding = true;
+    }
+  }
+
   /** Estimates the wait in the queue, in milliseconds, of a work item that arrives now. */
   getWaitMs(work: WorkItem): number {
     const { admission, queue, ledger, now } = this.options;
     return admission.getWaitMs({ work, queue, ledger, now: now() });
   }
 
+  private recordTime(engine: Engine, { expectedMs, grantedAt, isLong }: Reservation): void {
+    const { capacity, ledger, now } = this.options;
+    if (!capacity || expectedMs === undefined) return;
+    capacity.retain((id) => ledger.getEngine(id) !== undefined);
+    capacity.record({
+      upstream: engine.id,
+      kind: isLong ? 'long' : 'short',
+      duration: (now() - grantedAt) / Math.max(1, expectedMs),
+      utilisation: engine.runningCount / engine.capacity.maxBatch,
+    });
+  }
+
   private getServiceRefusal(work: WorkItem): Refusal | undefined {
     const { ledger, now } = this.options;
     return ledger.canServe(work, now()) ? undefined : NO_ENGINE_REFUSAL;
@@ -154,6 +181,7 @@
         isPausable: work.priority === 'batch' && !isBelowMinimumShare,
         isPausing: false,
         enginePriority: result.enginePriority,
+        expectedMs: result.expectedMs,
       }),
     );
     this.sessions.delete(work.id);
--- a/packages/scheduling/tests/scheduler/Scheduler.test.ts
+++ b/packages/scheduling/tests/scheduler/Scheduler.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
+  CapacityEstimator,
   LengthAwarePlacement,
   DeadlineAdmission,
   FairQueue,
@@ -75,6 +76,46 @@
   assert.equal(scheduler.findVictims().length, 0);
 });
 
+// Guards against engines of one shard that are slower than announced and get as much as others.
+test('an engine whose first tokens come late gets fewer prompts', () => {
+  const ids = ['a', 'b', 'c', 'd'];
+  const ledger = createLedger(...ids.map((id) => createEngine(id)));
+  now = 0;
+  const capacity = new CapacityEstimator({ now: () => now, comparesKinds: true });
+  const scheduler = new Scheduler({
+    ledger,
+    queue: new FairQueue(() => ({ urgent: 0, standard: 0.1, batch: 0.05 })),
+    admission: new QueueLengthAdmission(),
+    placement: new LengthAwarePlacement({ capacity }),
+    startWithinMs: 1000,
+    isPreemptive: true,
+    now: () => now,
+    capacity,
+  });
+  /** Runs prompts that arrive together and returns how many the slow engine got. */
+  const runRound = (): number => {
+    const startedAt = now;
+    Array.from({ length: 3 }, () => scheduler.submit(createWorkItem({ dueAt: Infinity }), 's'));
+    const ends = scheduler.dispatch().map(({ work, placement }) => {
+      const { id } = placement.shares[0]?.engine ?? createEngine('');
+      const ms = (placement.expectedMs ?? 0) * (id === 'a' ? 4 : 1);
+      return { request: work.id, id, at: startedAt + ms };
+    });
+    ends.sort((a, b) => a.at - b.at);
+    for (const { request, at } of ends) {
+      now = at;
+      scheduler.markDecoding(request);
+      ledger.removeRequest(request);
+    }
+    return ends.filter(({ id }) => id === 'a').length;
+  };
+  const first = Array.from({ length: 3 }, runRound).reduce((sum, count) => sum + count);
+  Array.from({ length: 10 }, runRound);
+  const later = Array.from({ length: 20 }, runRound).reduce((sum, count) => sum + count);
+  assert.equal(first, 3);
+  assert.ok(later < 5, `${later} of 60`);
+});
+
 test('a resumed work item skips admission', () => {
   const scheduler = createScheduler(createLedger(createEngine('a')), false);
   const late = { dueAt: 500, queueLimitMs: 500 };
