Wait in a test until a follower has applied both orders

Cause: the test read the evacuated data centres of one node right after another one had acknowledged both orders; at a load of 26 that node had applied one of them. An acknowledgement promises a quorum, not every node. It waits for the second one now and still expects both, and no other.

--- a/packages/gateway/tests/control/evacuationCluster.test.ts
+++ b/packages/gateway/tests/control/evacuationCluster.test.ts
@@ -166,6 +166,8 @@
   withCluster(async (cluster) => {
     await Promise.all([order(cluster, 'd', true), cluster.trySubmit(7), order(cluster, 'f', true)]);
     await cluster.waitFor(() => cluster.trySubmit(7));
+    // The node may apply what was acknowledged by another one a moment later.
+    await cluster.waitFor(async () => (await getEvacuated(cluster, 3)).length > 1);
     assert.deepEqual((await getEvacuated(cluster, 3)).sort(), ['d', 'f']);
     assert.equal(await cluster.read(3), 7);
   }));
