Keep engines that were slow on trial until an answer shows that they are well

Cause: a slowdown was forgotten 24 s after the last answer. Short prompts are packed on other engines, so long ones were the first to try such an engine, and were late.

--- a/packages/scheduling/src/capacity/CapacityEstimator.ts
+++ b/packages/scheduling/src/capacity/CapacityEstimator.ts
@@ -9,6 +9,7 @@
   getSignificantDeviation,
   isSufficient,
   poolEvidence,
+  refutesSlowness,
 } from './SlownessEvidence.js';
 import type { SlownessEvidence } from './SlownessEvidence.js';
 
@@ -52,6 +53,13 @@
 const HALF_LIFE_MS = 3000;
 /** Half-life in milliseconds of a slowdown that new observations neither confirm nor refute. */
 const RECOVERY_HALF_LIFE_MS = 8000;
+/** Time in milliseconds in which the limit of an upstream with a knee would rise to all slots. */
+const KNEE_RAMP_MS = 10_000;
+/**
+ * Time in milliseconds in which the limit of an upstream that was slow rises to all slots, unless
+ * observations show earlier that it is well.
+ */
+const TRIAL_RAMP_MS = 60_000;
 /** Interval in milliseconds at which estimates are computed. */
 const UPDATE_INTERVAL_MS = 100;
 /** Ranges of utilisation that are observed separately. */
@@ -218,17 +226,18 @@
     const known = poolEvidence(kneeBand === undefined ? bands : bands.slice(0, kneeBand));
     const knee = kneeBand === undefined ? undefined : bands[kneeBand];
     if (kneeBand !== undefined && knee)
-      updated.limit = new RampedLimit(kneeBand / BAND_COUNT, knee.observedAt);
+      updated.limit = new RampedLimit(kneeBand / BAND_COUNT, knee.observedAt, KNEE_RAMP_MS);
     const isConfirmed = confirms(known, state.deviation);
     if (isConfirmed || isSufficient(known)) {
       updated.deviation = isConfirmed ? known.deviation : getSignificantDeviation(known);
       updated.observedAt = known.observedAt;
-      if (updated.limit?.share === 0 && updated.deviation <= 0) updated.limit = undefined;
     } else if (state.deviation !== 0 && this.getDeviation(state) === 0) {
-      if (state.deviation > 0) updated.limit = new RampedLimit(0, now);
+      if (state.deviation > 0) updated.limit = new RampedLimit(0, now, TRIAL_RAMP_MS);
       updated.deviation = 0;
     }
-    if (updated.limit?.isOver(now)) updated.limit = undefined;
+    const isTrial = updated.limit?.share === 0;
+    if (updated.limit?.isOver(now) || (isTrial && refutesSlowness(known)))
+      updated.limit = undefined;
   }
 
   private getDeviation({ deviation, observedAt }: UpstreamState): number {
--- a/packages/scheduling/src/capacity/RampedLimit.ts
+++ b/packages/scheduling/src/capacity/RampedLimit.ts
@@ -1,15 +1,14 @@
-/** Time in milliseconds in which a limit rises from nothing to all slots. */
-const RAMP_MS = 10_000;
-
 /** A limit on the jobs of an upstream that rises with time, so that few at a time try it again. */
 export class RampedLimit {
   /**
    * @param share - Share of the slots from which the limit rises.
    * @param since - Monotonic time in milliseconds at which it begins to rise.
+   * @param rampMs - Time in milliseconds in which it would rise from nothing to all slots.
    */
   constructor(
     readonly share: number,
     private readonly since: number,
+    private readonly rampMs: number,
   ) {}
 
   /** Gets the limit in jobs: at least one, so that the upstream can show that it is well again. */
@@ -22,6 +21,6 @@
   }
 
   getShare(now: number): number {
-    return this.share + (now - this.since) / RAMP_MS;
+    return this.share + (now - this.since) / this.rampMs;
   }
 }
--- a/packages/scheduling/src/capacity/SlownessEvidence.ts
+++ b/packages/scheduling/src/capacity/SlownessEvidence.ts
@@ -12,7 +12,7 @@
 
 /** Natural logarithm of the slowdown below which an upstream counts as being like its peers. */
 export const DEAD_BAND = Math.log(1.5);
-/** Weight of observations that confirm what was known before. */
+/** Weight of observations that confirm or refute what was known before. */
 const MIN_CONFIRMING_WEIGHT = 0.75;
 /** Weight of observations below which they prove nothing new. */
 const MIN_WEIGHT = 2;
@@ -41,6 +41,11 @@
   return weight >= MIN_WEIGHT;
 }
 
+/** Returns true for evidence that an upstream, which was slow before, is well; little will do. */
+export function refutesSlowness({ weight, deviation }: SlownessEvidence): boolean {
+  return weight >= MIN_CONFIRMING_WEIGHT && deviation < DEAD_BAND;
+}
+
 /** Returns true for evidence of the same direction as an earlier deviation; little will do. */
 export function confirms({ weight, deviation }: SlownessEvidence, earlier: number): boolean {
   const isSameDirection = Math.sign(deviation) === Math.sign(earlier);
