Limit what all entry processes together send to a cold upstream

Cause: nothing read how long an upstream stays cold or what a cold one bears, so each scheduler and each entry process sent it what it liked.

Change: announcements carry the cold time, the configuration of a service the requests per second. The limiter keeps the lower one of the named limit and that of a cold upstream, in a sliding second. A process that begins to decide, and one that decides beside the leader, use half of it. Without a scheduler an entry process draws for turns, which are not saved up. Warm upstreams go first.

--- a/packages/discovery/src/Announcement.ts
+++ b/packages/discovery/src/Announcement.ts
@@ -13,6 +13,11 @@
   /** Number of requests that the upstream processes concurrently. */
   capacity: number;
   state: UpstreamState;
+  /**
+   * Milliseconds for which the upstream stays cold from the announcement on, and bears few requests.
+   * Processes of earlier versions do not name it.
+   */
+  coldMs?: number;
 }
 
 /**
--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -33,8 +33,14 @@
   silenceTimeoutMs?: number;
 }
 
+/** Milliseconds added to a cold time for rounding and for clocks of different speed. */
+const COLD_MARGIN_MS = 100;
+/** Extension of a known cold time in milliseconds from which an announcement has new content. */
+const MIN_COLD_EXTENSION_MS = 200;
 const DEFAULT_TOMBSTONE_TTL_MS = 60_000;
 const DEFAULT_SILENCE_TIMEOUT_MS = 60_000;
+/** About two intervals between the announcements of an upstream, in milliseconds. */
+const DEFAULT_ASSUMED_COLD_MS = 2500;
 
 /**
  * Table of upstreams by identity. The latest incarnation of an upstream wins. Within it the latest
@@ -86,6 +92,24 @@
     return known;
   }
 
+  /** Gets the milliseconds for which an upstream stays cold; 0 if it is warm or unknown. */
+  getColdMs(id: string): number {
+    const record = this.records.get(id);
+    return record ? Math.max(0, getColdUntil(record) - this.options.now()) : 0;
+  }
+
+  /**
+   * Treats the upstreams of a data centre as cold until each has announced itself again, for a time
+   * at most. To be called when they may have become cold unseen, such as after an evacuation.
+   */
+  assumeCold(dataCentre: string, durationMs = DEFAULT_ASSUMED_COLD_MS): void {
+    const until = this.options.now() + durationMs;
+    for (const record of this.records.values()) {
+      const isCovered = record.dataCentre !== dataCentre || getColdUntil(record) >= until;
+      if (!isCovered) record.coldMs = until - record.lastSeenAt;
+    }
+  }
+
   getUpstream(id: string): UpstreamRecord | undefined {
     return this.records.get(id);
   }
@@ -151,13 +175,19 @@
   };
 }
 
-function hasSameContent(announcement: Announcement, known: UpstreamRecord): boolean {
+function hasSameContent(announcement: UpstreamRecord, known: UpstreamRecord): boolean {
   return (
     announcement.bornAt === known.bornAt &&
     announcement.state === known.state &&
     announcement.service === known.service &&
     announcement.address === known.address &&
     announcement.capacity === known.capacity &&
-    announcement.dataCentre === known.dataCentre
+    announcement.dataCentre === known.dataCentre &&
+    getColdUntil(announcement) <= getColdUntil(known) + MIN_COLD_EXTENSION_MS
   );
 }
+
+/** Gets the time at which a cold upstream is warm again; -Infinity for one that is warm. */
+function getColdUntil({ coldMs = 0, lastSeenAt }: UpstreamRecord): number {
+  return coldMs > 0 ? lastSeenAt + coldMs + COLD_MARGIN_MS : -Infinity;
+}
--- a/packages/discovery/tests/UpstreamTable.test.ts
+++ b/packages/discovery/tests/UpstreamTable.test.ts
@@ -141,3 +141,65 @@
   table.removeExpired();
   assert.deepEqual(table.getRecords(), []);
 });
+
+function createClockedTable() {
+  const clock = { now: 10_000 };
+  return { clock, table: new UpstreamTable({ now: () => clock.now }) };
+}
+
+test('a cold time counts from the announcement, whatever its age', () => {
+  const { clock, table } = createClockedTable();
+  table.merge(createAnnouncement({ coldMs: 3000 }), 1000);
+  const coldMs = table.getColdMs('a');
+  assert.ok(coldMs >= 2000 && coldMs <= 2200, `${coldMs}`);
+  clock.now += 1900;
+  assert.ok(table.getColdMs('a') > 0);
+  clock.now += 400;
+  assert.equal(table.getColdMs('a'), 0);
+  assert.equal(table.getColdMs('unknown'), 0);
+});
+
+// Guards against processes that learn late that an upstream is cold again.
+test('an upstream that turns cold has changed, one that only stays cold has not', () => {
+  const { clock, table } = createClockedTable();
+  table.merge(createAnnouncement({ coldMs: 0 }));
+  clock.now += 1200;
+  assert.equal(table.merge(createAnnouncement({ sequence: 2, coldMs: 3000 })), 'changed');
+  clock.now += 1200;
+  assert.equal(table.merge(createAnnouncement({ sequence: 3, coldMs: 1800 })), 'refreshed');
+  clock.now += 1200;
+  assert.equal(table.merge(createAnnouncement({ sequence: 4, coldMs: 3000 })), 'changed');
+});
+
+test('a new incarnation under the same id is cold on its own', () => {
+  const { clock, table } = createClockedTable();
+  table.merge(createAnnouncement({ coldMs: 3000 }));
+  clock.now += 5000;
+  assert.equal(table.getColdMs('a'), 0);
+  table.merge(createAnnouncement({ bornAt: 2000, coldMs: 3000 }));
+  assert.ok(table.getColdMs('a') >= 3000);
+});
+
+test('upstreams of a data centre that is taken back count as cold until they announce themselves', () => {
+  const { clock, table } = createClockedTable();
+  const other = { id: 'b', address: '10.0.0.2:80', dataCentre: 'e' };
+  table.merge(createAnnouncement({ coldMs: 0 }));
+  table.merge(createAnnouncement(other));
+  clock.now += 1000;
+  table.assumeCold('d', 2000);
+  assert.ok(table.getColdMs('a') >= 2000);
+  assert.equal(table.getColdMs('b'), 0);
+  clock.now += 500;
+  table.merge(createAnnouncement({ coldMs: 0 }));
+  assert.ok(table.getColdMs('a') > 0);
+  table.merge(createAnnouncement({ sequence: 2, coldMs: 0 }));
+  assert.equal(table.getColdMs('a'), 0);
+});
+
+test('an assumed cold time ends without an announcement', () => {
+  const { clock, table } = createClockedTable();
+  table.merge(createAnnouncement());
+  table.assumeCold('d', 2000);
+  clock.now += 2200;
+  assert.equal(table.getColdMs('a'), 0);
+});
--- a/packages/gateway/src/configuration/Configuration.ts
+++ b/packages/gateway/src/configuration/Configuration.ts
@@ -70,6 +70,11 @@
   healthPath: z.string(),
   /** Maximum number of connections that an upstream accepts from all callers together. */
   maxConnections: z.number(),
+  /**
+   * Requests per second that a cold upstream bears from all callers together; undefined if cold
+   * upstreams have no limit.
+   */
+  coldRequestsPerSecond: z.number().positive().optional(),
   engine: engineSchema.optional(),
 });
 
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -149,6 +149,7 @@
       table: this.table,
       getConfiguration: () => this.state.configuration,
       findings: this.findings,
+      isLeading: () => this.replica?.role === 'leader',
       logger,
     });
     this.findings.changes.subscribe((update) => this.passOnFindings(update));
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@azurecart/telemetry';
 import type { Configuration, Service } from '../configuration/index.js';
 import type { Findings } from '../findings/index.js';
+import { UpstreamLimits } from '../limits/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { METHODS } from './messages.js';
 import type {
@@ -21,6 +22,8 @@
   /** Gets the current configuration; undefined before the first document is committed. */
   getConfiguration: () => Configuration | undefined;
   findings: Findings;
+  /** Returns true while this process leads; another one may decide beside it. */
+  isLeading?: () => boolean;
   logger: Logger;
 }
 
@@ -30,11 +33,8 @@
   link: Link;
 }
 
-/**
- * Milliseconds without a decision after which another scheduler may have used the limits of
- * upstreams; as long as the window in which they are counted.
- */
-const MAX_DECISION_GAP_MS = 4000;
+/** Share of the limits of cold upstreams that a process uses that decides beside the leader. */
+const STANDBY_COLD_SHARE = 0.5;
 /** Interval in milliseconds at which queued jobs are reconsidered. */
 const QUEUE_INTERVAL_MS = 20;
 /** Interval in milliseconds between notifications of the engines that serve short prompts. */
@@ -54,7 +54,7 @@
 
   private readonly permitQueue: PermitQueue;
 
-  private decidedAt = -Infinity;
+  private readonly limits: UpstreamLimits;
 
   private readonly timers: NodeJS.Timeout[];
 
@@ -65,8 +65,15 @@
 
   constructor(private readonly options: PlacementServiceOptions) {
     const now = (): number => performance.now();
-    const getLimit = (upstream: string) => options.findings.limits.getLimit(upstream);
-    this.limiter = new RateLimiter({ now, getLimit });
+    const { table, findings, logger, isLeading = () => true } = options;
+    const getService = (name: string) => this.getService(name);
+    this.limits = new UpstreamLimits({ table, findings, getService, logger });
+    this.limiter = new RateLimiter({
+      now,
+      getLimit: (upstream) => this.limits.getNamedLimit(upstream),
+      getColdLimit: (upstream) => this.limits.getColdLimit(upstream),
+      getColdShare: () => (isLeading() ? 1 : STANDBY_COLD_SHARE),
+    });
     this.permitQueue = new PermitQueue({ now, limiter: this.limiter });
     this.timers = [
       setInterval(() => this.decideQueued(), QUEUE_INTERVAL_MS),
@@ -81,7 +88,7 @@
   addHandlers(handlers: Map<string, CallHandler>): void {
     handlers.set(METHODS.place, (body, link) => this.place(toEngineJob(body as SentJob), link));
     handlers.set(METHODS.permit, (body) => {
-      this.recordDecision();
+      this.limiter.recordDecision();
       return this.permitQueue.request(body as PermitRequest);
     });
   }
@@ -107,7 +114,7 @@
     // Also thrown while there is no configuration, or none with an engine profile for the service.
     if (!scheduler) throw new Error(`no engines known for service ${job.service}`);
     this.attach(link);
-    this.recordDecision();
+    this.limiter.recordDecision();
     scheduler.setEngines(this.options.table.getReady(job.service));
     const decision = scheduler.place(job);
     this.entryLinks.add(link);
@@ -116,13 +123,6 @@
     return decision;
   }
 
-  /** Records that this process decides; one that did not for long may have become the scheduler. */
-  private recordDecision(): void {
-    const now = performance.now();
-    if (now - this.decidedAt > MAX_DECISION_GAP_MS) this.limiter.assumeUsed();
-    this.decidedAt = now;
-  }
-
   private handleAdopt(placedJob: PlacedJob, link: Link): void {
     const { upstream, helpers, isWriting, ageMs } = placedJob;
     const job = toEngineJob(placedJob.job);
@@ -180,14 +180,20 @@
   }
 
   private decideQueued(): void {
+    const schedulers = [...this.schedulers.values()];
+    const isDeciding =
+      this.permitQueue.length > 0 || schedulers.some(({ queueLength }) => queueLength > 0);
+    if (!isDeciding) return;
+    this.limiter.recordDecision();
     this.permitQueue.decide();
-    for (const scheduler of this.schedulers.values()) {
-      if (scheduler.queueLength > 0) scheduler.decideQueued();
-    }
+    schedulers
+      .filter(({ queueLength }) => queueLength > 0)
+      .forEach((scheduler) => scheduler.decideQueued());
   }
 
   private sendShortPromptEngines(): void {
     this.limiter.removeExpired();
+    this.limits.logChanges();
     for (const [service, scheduler] of this.schedulers) {
       const notification: ShortPromptEnginesUpdate = {
         service,
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -4,6 +4,7 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { Findings } from '../findings/index.js';
+import { UpstreamLimits } from '../limits/index.js';
 import { RoutingTable } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
 import type { ClusterUpdate, ConfigurationUpdate, UpstreamUpdate } from '../control/messages.js';
@@ -23,6 +24,8 @@
 
   readonly findings: Findings;
 
+  readonly limits: UpstreamLimits;
+
   routing: RoutingTable | undefined;
 
   private readonly departureSubject = new Subject<UpstreamRecord>();
@@ -39,6 +42,12 @@
 
   constructor(private readonly options: ClusterViewOptions) {
     this.findings = new Findings({ now: () => performance.now(), logger: options.logger });
+    this.limits = new UpstreamLimits({
+      table: this.upstreamTable,
+      findings: this.findings,
+      getService: (name) => this.routing?.getService(name),
+      logger: options.logger,
+    });
   }
 
   get version(): number {
--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -80,6 +80,12 @@
       'Upstreams that take work',
       () => view.upstreamTable.getRecords().filter(({ state }) => state === 'ready').length,
     );
+    addGauge(
+      registry,
+      'upstreams_cold',
+      'Upstreams that take work and have a limit because they are cold',
+      () => view.limits.getColdIds().length,
+    );
     addGauge(
       registry,
       'prompt_parts_quarantined',
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -251,6 +251,7 @@
 
   private expireUpstreams(): void {
     this.view.upstreamTable.removeExpired();
+    this.view.limits.logChanges();
     const isKnown = (id: string) => this.view.upstreamTable.getUpstream(id) !== undefined;
     this.view.findings.removeExpired(isKnown);
     this.health.retain(isKnown);
--- a/packages/gateway/src/entry/LeastLoadedPlacer.ts
+++ b/packages/gateway/src/entry/LeastLoadedPlacer.ts
@@ -26,6 +26,11 @@
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
 /** Cost of a failure rate of 1, in requests in flight. */
 const FAILURE_COST = 8;
+/**
+ * Cost of a cold upstream in requests in flight: warm ones go first, as they need no permit, until
+ * they are clearly busier.
+ */
+const COLD_COST = 1.5;
 /**
  * Cost of an upstream in another data centre and upper bound of the random jitter, in requests in
  * flight. As the jitter stays below that cost, an upstream in another data centre is never
@@ -113,11 +118,12 @@
   }
 
   private getCost(request: PlacementRequest, upstream: UpstreamRecord): number {
-    const { health, shortPromptEngines, dataCentre, random = Math.random } = this.options;
+    const { view, health, shortPromptEngines, dataCentre, random = Math.random } = this.options;
     const remoteCost = upstream.dataCentre === dataCentre ? 0 : REMOTE_COST;
+    const coldCost = view.limits.getColdLimit(upstream.id) === undefined ? 0 : COLD_COST;
     const failureCost = health.getFailureRate(upstream.id) * FAILURE_COST;
     const loadCost =
       health.getInFlight(upstream.id) + shortPromptEngines.getCost(request, upstream.id);
-    return loadCost + remoteCost + failureCost + random() * REMOTE_COST;
+    return loadCost + remoteCost + coldCost + failureCost + random() * REMOTE_COST;
   }
 }
--- a/packages/gateway/src/entry/PermitClient.ts
+++ b/packages/gateway/src/entry/PermitClient.ts
@@ -1,3 +1,4 @@
+import { RandomTurns } from '@azurecart/scheduling';
 import type { Permit, PermitRequest } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import { METHODS } from '../control/messages.js';
@@ -12,6 +13,8 @@
   logger: Logger;
   /** Gets the monotonic time in milliseconds. */
   now?: () => number;
+  /** Random numbers from 0 to 1, which decide on turns at cold upstreams. */
+  random?: () => number;
 }
 
 interface OwnShare {
@@ -34,19 +37,23 @@
 /**
  * Gets leave from a scheduler to send requests to upstreams with a limit, as the limit holds for all
  * entry processes together. Without a scheduler, this process uses its part of a share of the limit,
- * which it starts to save up when the scheduler is lost.
+ * which it starts to save up when the scheduler is lost. A cold upstream is warm
+ * again before most processes would have saved up a permit, so there they draw for turns.
  */
 export class PermitClient {
   private readonly ownShares = new Map<string, OwnShare>();
 
+  private readonly turns: RandomTurns;
+
   private readonly now: () => number;
 
   constructor(private readonly options: PermitClientOptions) {
     this.now = options.now ?? (() => performance.now());
+    this.turns = new RandomTurns({ now: this.now, random: options.random ?? Math.random });
   }
 
   isLimited(upstream: string): boolean {
-    return this.options.view.findings.limits.getLimit(upstream) !== undefined;
+    return this.options.view.limits.isLimited(upstream);
   }
 
   /**
@@ -91,23 +98,34 @@
   }
 
   private takeOwnShare(upstreams: string[]): Permit {
-    const shares = upstreams.map((upstream) => ({ upstream, share: this.accrue(upstream) }));
-    const found = shares.find(({ share }) => share.permits >= 1);
-    if (!found) return REFUSED;
-    found.share.permits -= 1;
-    return { kind: 'granted', upstream: found.upstream };
+    this.turns.removeExpired();
+    const upstream = upstreams.find((id) => this.takePermit(id));
+    return upstream === undefined ? REFUSED : { kind: 'granted', upstream };
+  }
+
+  private takePermit(upstream: string): boolean {
+    const { limits } = this.options.view;
+    const namedLimit = limits.getNamedLimit(upstream);
+    const share = namedLimit === undefined ? undefined : this.accrue(upstream, namedLimit);
+    if (share && share.permits < 1) return false;
+    const coldLimit = limits.getColdLimit(upstream);
+    if (coldLimit !== undefined && !this.turns.take(upstream, this.getOwnRate(coldLimit)))
+      return false;
+    if (share) share.permits -= 1;
+    return true;
+  }
+
+  /** Gets the requests per second of a limit that this process may use without a scheduler. */
+  private getOwnRate(limit: number): number {
+    return (limit * UNSCHEDULED_SHARE) / Math.max(1, this.options.view.cluster.value.entries);
   }
 
-  private accrue(upstream: string): OwnShare {
-    const { view } = this.options;
+  private accrue(upstream: string, limit: number): OwnShare {
     const now = this.now();
     const share = this.ownShares.get(upstream) ?? { permits: 0, updatedAt: now };
-    const perSecond =
-      ((view.findings.limits.getLimit(upstream) ?? 0) * UNSCHEDULED_SHARE) /
-      Math.max(1, view.cluster.value.entries);
     share.permits = Math.min(
       1,
-      share.permits + (perSecond * (now - share.updatedAt)) / MS_PER_SECOND,
+      share.permits + (this.getOwnRate(limit) * (now - share.updatedAt)) / MS_PER_SECOND,
     );
     share.updatedAt = now;
     this.ownShares.set(upstream, share);
--- a/packages/gateway/tests/entry/PermitClient.test.ts
+++ b/packages/gateway/tests/entry/PermitClient.test.ts
@@ -7,12 +7,16 @@
 import { ClusterView } from '../../src/entry/ClusterView.js';
 import { PermitClient } from '../../src/entry/PermitClient.js';
 import { SchedulerSelector } from '../../src/entry/SchedulerSelector.js';
+import { RoutingTable } from '../../src/configuration/index.js';
 import { LinkServer } from '../../src/links/index.js';
 import type { CallHandler, Link } from '../../src/links/index.js';
 import { getFreePort, silentLogger, versionCodec } from '../control/ControlCluster.js';
 
 const ENTRIES = 8;
 const LIMIT = 4;
+const COLD_PER_SECOND = 26;
+/** Draws a turn if this process has at least two fifths of one in a second. */
+const RANDOM = 0.4;
 const REQUEST = { upstreams: ['u'], priority: 0, waitMs: 0 };
 const NEVER = new AbortController().signal;
 
@@ -55,12 +59,13 @@
     schedulers,
     logger: silentLogger,
     now: () => clock.now,
+    random: () => RANDOM,
   });
   const stop = (): void => {
     linkPool.stop();
     servers.forEach((server) => server.stop());
   };
-  return { permits, received, clock, stop };
+  return { permits, received, clock, view, stop };
 }
 
 test('the leader grants, and the standby learns of it', async () => {
@@ -114,3 +119,64 @@
     stop();
   }
 });
+
+/** Makes an upstream known whose service states what a cold one bears. */
+function addColdUpstream(view: ClusterView, coldMs: number): void {
+  const configuration = versionCodec.decode(Buffer.from('1'));
+  const coldRequestsPerSecond = COLD_PER_SECOND;
+  configuration.services.push({
+    name: 's',
+    healthPath: '/',
+    maxConnections: 9,
+    coldRequestsPerSecond,
+  });
+  Object.assign(view, { routing: new RoutingTable(configuration) });
+  view.upstreamTable.merge({
+    id: 'c',
+    bornAt: 1,
+    sequence: 1,
+    service: 's',
+    address: '10.0.0.1:80',
+    dataCentre: 'd',
+    capacity: 8,
+    state: 'ready',
+    coldMs,
+  });
+}
+
+test('a cold upstream needs a permit, a warm one does not', async () => {
+  const { permits, view, stop } = await startClient(() => ({ kind: 'granted', upstream: 'c' }));
+  try {
+    addColdUpstream(view, 0);
+    assert.ok(!permits.isLimited('c'));
+    view.mergeUpstreams({
+      records: view.upstreamTable
+        .getRecords()
+        .map((record) => ({ ...record, sequence: 2, coldMs: 3000, ageMs: 10 })),
+    });
+    assert.ok(permits.isLimited('c'));
+    const request = { ...REQUEST, upstreams: ['c'] };
+    assert.equal((await permits.acquire(request, NEVER)).kind, 'granted');
+  } finally {
+    stop();
+  }
+});
+
+// Guards against entry processes that save up turns at a cold upstream and use them together.
+test('without a scheduler a cold upstream gets this process its part in each second at most', async () => {
+  const { permits, clock, view, stop } = await startClient(() => {
+    throw new Error('not leading');
+  });
+  try {
+    addColdUpstream(view, 60_000);
+    const request = { ...REQUEST, upstreams: ['c'] };
+    clock.now = 30_000;
+    let granted = 0;
+    for (let attempt = 0; attempt < 40; attempt += 1)
+      granted += Number((await permits.acquire(request, NEVER)).kind === 'granted');
+    const part = (COLD_PER_SECOND * 0.4) / ENTRIES;
+    assert.equal(granted, Math.floor(part));
+  } finally {
+    stop();
+  }
+});
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -111,6 +111,8 @@
   /** Bytes that bodies of requests may hold, and those of responses as many again. */
   memoryBytes?: number;
   maxBodyBytes?: number;
+  /** Requests per second that a cold upstream bears; without it, cold ones have no limit. */
+  coldRequestsPerSecond?: number;
 }
 
 const DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024;
@@ -125,7 +127,7 @@
   options: TestEntryOptions = {},
 ): Promise<TestEntry> {
   const { ratio = 1, extra = 100, heldTokens = 0, placementMs = 0 } = options;
-  const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99 } = options;
+  const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99, coldRequestsPerSecond } = options;
   const { lifetime = new ProcessLifetime({ graceMs: Infinity }) } = options;
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
@@ -185,7 +187,8 @@
     responseMemory,
     logger: silentLogger,
   });
-  const routing = createRouting(routeFields, maxBodyBytes);
+  const routing = createRouting(routeFields, maxBodyBytes, coldRequestsPerSecond);
+  view.routing = routing;
   const server = createServer((request, response) => {
     handler.run(new Exchange(request, response, () => false), routing);
   });
@@ -239,7 +242,11 @@
   };
 }
 
-function createRouting(routeFields: Partial<Route>, maxBodyBytes: number): RoutingTable {
+function createRouting(
+  routeFields: Partial<Route>,
+  maxBodyBytes: number,
+  coldRequestsPerSecond: number | undefined,
+): RoutingTable {
   const route: Route = {
     name: 'r',
     host: 'a.example',
@@ -259,7 +266,7 @@
   return new RoutingTable({
     version: 1,
     routes: [route],
-    services: [{ name: 's', healthPath: '/', maxConnections: 9 }],
+    services: [{ name: 's', healthPath: '/', maxConnections: 9, coldRequestsPerSecond }],
     limits: { maxHeaderBytes: 9999, maxBodyBytes, headerTimeoutMs: 999, idleTimeoutMs: 999 },
     customers: [{ name: 't', keys: ['good'] }],
   });
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -247,6 +247,7 @@
       now,
       getFailureRate: (load: EngineLoad) => this.health.getFailureRate(load.engine.id, now),
       hasLimit: this.hasLimit,
+      getColdUse: ({ engine }: EngineLoad) => this.limiter.getColdUse(engine.id),
     };
     if (this.needsMultipleEngines(job)) {
       const choice = chooseMultipleEngines(context);
@@ -371,7 +372,7 @@
   }
 
   private readonly hasLimit = ({ engine }: EngineLoad): boolean =>
-    this.limiter.getLimit(engine.id) !== undefined;
+    this.limiter.getNamedLimit(engine.id) !== undefined;
 
   private mustStartSoon(waiting: WaitingJob, now: number): boolean {
     if (!this.order.canBeOnTime(waiting, now)) return false;
@@ -475,7 +476,7 @@
   private get totalLimit(): number {
     if (this.loads.size === 0) return Infinity;
     return [...this.loads.keys()].reduce(
-      (sum, id) => sum + (this.limiter.getLimit(id) ?? Infinity),
+      (sum, id) => sum + (this.limiter.getNamedLimit(id) ?? Infinity),
       0,
     );
   }
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -43,6 +43,8 @@
    * that occupies it displaces fewer of them than on another engine.
    */
   hasLimit: (load: EngineLoad) => boolean;
+  /** Gets the used part of what a cold engine bears, 0 to 1; 0 for one that is not cold. */
+  getColdUse: (load: EngineLoad) => number;
 }
 
 /** Share of the objective that a predicted time to the first event may use. */
--- a/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
@@ -19,6 +19,8 @@
 const DELAY_COST = 0.5;
 /** Cost of each short prompt beyond the target, as a fraction of a failed or late request. */
 const EXCESS_COST = 0.08;
+/** Cost of a cold engine that bears no more requests, as a fraction of a failed or late request. */
+const COLD_COST = 0.12;
 
 /**
  * Chooses the engine of the lowest cost for a short prompt, packing short prompts so that others
@@ -31,6 +33,7 @@
   slackMs,
   now,
   getFailureRate,
+  getColdUse,
 }: ChoiceContext): EngineChoice | undefined {
   const cost = (load: EngineLoad): number => {
     const firstMs = load.getFirstEventMs(prefillMs, now);
@@ -46,6 +49,7 @@
       own +
       getFailureRate(load) +
       load.getDisruptionCost(prefillMs, now) +
+      getColdUse(load) * COLD_COST +
       excess +
       idle +
       fill +
--- a/packages/scheduling/src/limits/PermitQueue.ts
+++ b/packages/scheduling/src/limits/PermitQueue.ts
@@ -54,6 +54,11 @@
 
   constructor(private readonly options: PermitQueueOptions) {}
 
+  /** Number of requests that wait. */
+  get length(): number {
+    return this.waiting.length;
+  }
+
   /** Resolves when the request may be sent, or with a refusal. */
   request(request: PermitRequest): Promise<Permit> {
     return new Promise((resolve) => {
