--- a/packages/fakes/src/runner/FakeRunner.ts
+++ b/packages/fakes/src/runner/FakeRunner.ts
@@ -106,6 +106,9 @@
   /** Milliseconds for which the runner, which rejects all requests, wants none from the caller. */
   retryAfterMs: number | undefined;
 
+  /** Monotonic time in milliseconds until which the runner says that it is cold. */
+  coldUntil = -Infinity;
+
   private readonly server: Server;
 
   private readonly latencyModel: LatencyModel;
@@ -159,6 +162,7 @@
         Version: 'v1',
         Capacity: capacity,
         State: state,
+        ColdRemainingMs: Math.max(0, Math.round(this.coldUntil - performance.now())),
         Sequence: this.sequence,
         born: this.startedAt,
       }),
--- a/packages/fakes/src/soak/Bounds.ts
+++ b/packages/fakes/src/soak/Bounds.ts
@@ -15,6 +15,9 @@
   /** Excess over the limit of a runner in a window of 4 s: a factor, and requests beyond it. */
   limitFactor: 1.5,
   limitExtra: 5,
+  /** Excess over what a cold runner bears in a second: a factor, and requests beyond it. */
+  coldFactor: 1.5,
+  coldExtra: 5,
   /** Requests to a runner in a pause that it asked for, from this many milliseconds after it did. */
   pauseRequests: 2,
   pauseSlackMs: 500,
--- a/packages/fakes/src/soak/RunnerFleet.ts
+++ b/packages/fakes/src/soak/RunnerFleet.ts
@@ -80,8 +80,8 @@
     await Promise.all(this.slots.map((slot) => this.startRunner(slot)));
   }
 
-  /** Starts a runner at a slot, under a new id or the one it had. */
-  async startRunner(slot: RunnerSlot, id = this.createId()): Promise<void> {
+  /** Starts a runner at a slot, under a new id or the one it had; it may be cold at first. */
+  async startRunner(slot: RunnerSlot, id = this.createId(), coldMs = 0): Promise<RunnerLifetime> {
     const runner = await FakeRunner.start({
       id,
       service: slot.service,
@@ -98,9 +98,10 @@
         this.restartAfterCrash(slot).catch(() => undefined);
       },
     });
+    runner.coldUntil = performance.now() + coldMs;
     const [host = '', port] = runner.address.split(':');
     slot.relay.retarget({ host, port: Number(port) });
-    const lifetime = {
+    const lifetime: RunnerLifetime = {
       runner,
       slot: slot.name,
       service: slot.service,
@@ -110,6 +111,7 @@
     this.lifetimes.push(lifetime);
     Object.assign(slot, { current: lifetime, isAnnouncing: true });
     await this.announce(slot);
+    return lifetime;
   }
 
   /** Announces the running runners until the run is over. */
--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -8,6 +8,7 @@
 import { FaultSchedule } from '../prove/FaultSchedule.js';
 import { BOUNDS } from './Bounds.js';
 import { ClientWorkload } from './ClientWorkload.js';
+import { ColdWorkload } from './ColdWorkload.js';
 import { SERVICES } from './configuration.js';
 import { CORE, Disturbances } from './Disturbances.js';
 import { GatewayFaults } from './GatewayFaults.js';
@@ -41,6 +42,7 @@
 const POISON_SEED_OFFSET = 1_000_003;
 const LIMIT_SEED_OFFSET = 2_000_003;
 const STATEMENT_SEED_OFFSET = 3_000_017;
+const COLD_SEED_OFFSET = 4_000_037;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -135,6 +137,7 @@
       ...observed,
       random: createRandom(STATEMENT_SEED_OFFSET),
     });
+    const cold = new ColdWorkload({ ...observed, random: createRandom(COLD_SEED_OFFSET) });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
@@ -172,6 +175,7 @@
       poison.run(isOver),
       limits.run(isOver),
       statements.run(isOver),
+      cold.run(isOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
@@ -188,6 +192,7 @@
     poison.finish();
     limits.finish();
     statements.finish();
+    cold.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
--- a/packages/fakes/src/soak/configuration.ts
+++ b/packages/fakes/src/soak/configuration.ts
@@ -37,6 +37,10 @@
   kvCacheTokens: 400_000,
 };
 export const ENGINE_CAPACITY = 11;
+/** Time for which a runner that comes back stays cold, and what it bears meanwhile. */
+export const COLD_SECONDS = 3;
+export const COLD_PER_SECOND = 3;
+const COLD_START = { ColdStartS: COLD_SECONDS, ColdPerS: COLD_PER_SECOND };
 
 /** True if a request may run more than once. */
 export function isRepeatable({ type, isResumable }: SoakRoute): boolean {
@@ -78,9 +82,9 @@
     Version: version,
     Routes: [...routes, ...markers, ...(extraPath ? [createMarker(extraPath, service)] : [])],
     Services: [
-      { Name: SERVICES.models, MaxConnections: 300, Engine: createEngine() },
-      { Name: SERVICES.orders, MaxConnections: 300 },
-      { Name: SERVICES.spare, MaxConnections: 300 },
+      { Name: SERVICES.models, MaxConnections: 300, ...COLD_START, Engine: createEngine() },
+      { Name: SERVICES.orders, MaxConnections: 300, ...COLD_START },
+      { Name: SERVICES.spare, MaxConnections: 300, ...COLD_START },
     ],
     Limits: {
       MaxHeaderBytes: 16_384,
--- a/packages/gateway/src/entry/PermitClient.ts
+++ b/packages/gateway/src/entry/PermitClient.ts
@@ -13,6 +13,11 @@
   logger: Logger;
   /** Gets the monotonic time in milliseconds. */
   now?: () => number;
+  /**
+   * Returns true while this process hears of upstreams that turn cold. By default it does over the
+   * link to any scheduler.
+   */
+  isInTouch?: () => boolean;
   /** Random numbers from 0 to 1, which decide on turns at cold upstreams. */
   random?: () => number;
 }
@@ -37,8 +42,9 @@
 /**
  * Gets leave from a scheduler to send requests to upstreams with a limit, as the limit holds for all
  * entry processes together. Without a scheduler, this process uses its part of a share of the limit,
- * which it starts to save up when the scheduler is lost. A cold upstream is warm
- * again before most processes would have saved up a permit, so there they draw for turns.
+ * which it starts to save up when the scheduler is lost. A cold upstream is warm again before most
+ * processes would have saved up a permit, so there they draw for turns. A process that is out of
+ * touch treats each upstream as cold that may have become so unseen.
  */
 export class PermitClient {
   private readonly ownShares = new Map<string, OwnShare>();
@@ -53,7 +59,10 @@
   }
 
   isLimited(upstream: string): boolean {
-    return this.options.view.limits.isLimited(upstream);
+    const { limits } = this.options.view;
+    return (
+      limits.getNamedLimit(upstream) !== undefined || this.getColdLimit(upstream) !== undefined
+    );
   }
 
   /**
@@ -108,13 +117,19 @@
     const namedLimit = limits.getNamedLimit(upstream);
     const share = namedLimit === undefined ? undefined : this.accrue(upstream, namedLimit);
     if (share && share.permits < 1) return false;
-    const coldLimit = limits.getColdLimit(upstream);
+    const coldLimit = this.getColdLimit(upstream);
     if (coldLimit !== undefined && !this.turns.take(upstream, this.getOwnRate(coldLimit)))
       return false;
     if (share) share.permits -= 1;
     return true;
   }
 
+  private getColdLimit(upstream: string): number | undefined {
+    const { schedulers, view } = this.options;
+    const { isInTouch = () => schedulers.getLinks().length > 0 } = this.options;
+    return isInTouch() ? view.limits.getColdLimit(upstream) : view.limits.getLimitIfCold(upstream);
+  }
+
   /** Gets the requests per second of a limit that this process may use without a scheduler. */
   private getOwnRate(limit: number): number {
     return (limit * UNSCHEDULED_SHARE) / Math.max(1, this.options.view.cluster.value.entries);
--- a/packages/gateway/src/limits/UpstreamLimits.ts
+++ b/packages/gateway/src/limits/UpstreamLimits.ts
@@ -28,14 +28,14 @@
 
   /** Gets the requests per second that a cold upstream bears; undefined if it is not cold. */
   getColdLimit(upstream: string): number | undefined {
-    const { table, getService } = this.options;
-    const record = table.getUpstream(upstream);
-    if (!record || table.getColdMs(upstream) === 0) return undefined;
-    return getService(record.service)?.coldRequestsPerSecond;
+    return this.options.table.getColdMs(upstream) > 0 ? this.getLimitIfCold(upstream) : undefined;
   }
 
-  isLimited(upstream: string): boolean {
-    return this.getNamedLimit(upstream) !== undefined || this.getColdLimit(upstream) !== undefined;
+  /** Gets the requests per second that an upstream bears whenever it is cold. */
+  getLimitIfCold(upstream: string): number | undefined {
+    const { table, getService } = this.options;
+    const record = table.getUpstream(upstream);
+    return record && getService(record.service)?.coldRequestsPerSecond;
   }
 
   /** Gets the ids of the upstreams that accept requests and have a limit because they are cold. */
--- a/packages/gateway/tests/entry/coldUpstreams.test.ts
+++ b/packages/gateway/tests/entry/coldUpstreams.test.ts
@@ -16,11 +16,11 @@
 };
 
 /** Starts upstreams and an entry process without a scheduler. */
-async function start(count: number) {
+async function start(count: number, isInTouch = true) {
   const upstreams: ScriptedUpstream[] = [];
   for (let index = 0; index < count; index += 1)
     upstreams.push(await ScriptedUpstream.start(respond));
-  const options = { coldRequestsPerSecond: COLD_PER_SECOND };
+  const options = { coldRequestsPerSecond: COLD_PER_SECOND, isInTouch };
   return { upstreams, entry: await startEntry(upstreams, {}, options) };
 }
 
@@ -94,3 +94,20 @@
     entry.stop();
   }
 });
+
+// Guards against a process that wakes with an old view and sends what has piled up to an upstream
+// that has come back cold under its own id since.
+test('a process that is out of touch treats an upstream as cold that it knows as warm', async () => {
+  const { upstreams, entry } = await start(1, false);
+  try {
+    const startedAt = performance.now();
+    const requests = Array.from({ length: 12 }, () => entry.send());
+    const statuses = (await Promise.all(requests)).map(({ status }) => status);
+    const seconds = Math.ceil((performance.now() - startedAt) / 1000);
+    const received = upstreams[0]?.received.length ?? 0;
+    assert.ok(received >= 1 && received <= OWN_PER_SECOND * seconds, `${received}`);
+    assert.equal(statuses.filter((status) => status === 503).length, 12 - received);
+  } finally {
+    entry.stop();
+  }
+});
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -113,6 +113,8 @@
   maxBodyBytes?: number;
   /** Requests per second that a cold upstream bears; without it, cold ones have no limit. */
   coldRequestsPerSecond?: number;
+  /** True, the default, if the process hears of upstreams that turn cold. */
+  isInTouch?: boolean;
 }
 
 const DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024;
@@ -127,7 +129,8 @@
   options: TestEntryOptions = {},
 ): Promise<TestEntry> {
   const { ratio = 1, extra = 100, heldTokens = 0, placementMs = 0 } = options;
-  const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99, coldRequestsPerSecond } = options;
+  const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99 } = options;
+  const { coldRequestsPerSecond, isInTouch = true } = options;
   const { lifetime = new ProcessLifetime({ graceMs: Infinity }) } = options;
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
@@ -158,7 +161,7 @@
     statements,
     shortPromptEngines: new ShortPromptEngines(view),
     startupGate: new StartupGate({ windowMs: 0 }),
-    permits: createPermitClient(view),
+    permits: createPermitClient(view, isInTouch),
     dataCentre: 'near',
     random: () => 0,
   });
@@ -212,10 +215,15 @@
 }
 
 /** Creates a client without schedulers. */
-function createPermitClient(view: ClusterView): PermitClient {
+function createPermitClient(view: ClusterView, isInTouch: boolean): PermitClient {
   const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
   const schedulers = new SchedulerSelector({ view, linkPool });
-  return new PermitClient({ view, schedulers, logger: silentLogger });
+  return new PermitClient({
+    view,
+    schedulers,
+    isInTouch: () => isInTouch,
+    logger: silentLogger,
+  });
 }
 
 /** Lets requests wait before they are placed. */
--- a/packages/gateway/tests/limits/UpstreamLimits.test.ts
+++ b/packages/gateway/tests/limits/UpstreamLimits.test.ts
@@ -36,16 +36,16 @@
   const { clock, table, limits } = createLimits(26);
   table.merge({ ...ANNOUNCEMENT, coldMs: 3000 });
   assert.equal(limits.getColdLimit('u'), 26);
-  assert.ok(limits.isLimited('u'));
   clock.now += 3500;
   assert.equal(limits.getColdLimit('u'), undefined);
-  assert.ok(!limits.isLimited('u'));
+  assert.equal(limits.getLimitIfCold('u'), 26);
 });
 
 test('a service without a limit for cold upstreams has none', () => {
   const { table, limits } = createLimits();
   table.merge({ ...ANNOUNCEMENT, coldMs: 3000 });
-  assert.ok(!limits.isLimited('u'));
+  assert.equal(limits.getColdLimit('u'), undefined);
+  assert.equal(limits.getLimitIfCold('u'), undefined);
   assert.deepEqual(limits.getColdIds(), []);
 });
 
@@ -53,7 +53,7 @@
   const { findings, limits } = createLimits(26);
   findings.recordLimit('u', 1, 2);
   assert.equal(limits.getNamedLimit('u'), 2);
-  assert.ok(limits.isLimited('u'));
+  assert.equal(limits.getColdLimit('u'), undefined);
 });
 
 test('each change between cold and warm is logged once', () => {
