Merge the limits of cold upstreams

Joined with the evacuation: upstreams of a data centre that is taken back count as cold until each has announced itself, since they may have turned cold while nothing was sent there.

--- a/packages/fakes/src/soak/Soak.ts
+++ b/packages/fakes/src/soak/Soak.ts
@@ -8,6 +8,7 @@
 import { FaultSchedule } from '../prove/FaultSchedule.js';
 import { BOUNDS } from './Bounds.js';
 import { ClientWorkload } from './ClientWorkload.js';
+import { ColdWorkload } from './ColdWorkload.js';
 import { SERVICES } from './configuration.js';
 import { CORE, Disturbances } from './Disturbances.js';
 import { EvacuationWorkload } from './EvacuationWorkload.js';
@@ -43,6 +44,7 @@
 const LIMIT_SEED_OFFSET = 2_000_003;
 const STATEMENT_SEED_OFFSET = 3_000_017;
 const EVACUATION_SEED_OFFSET = 4_000_037;
+const COLD_SEED_OFFSET = 5_000_011;
 const GRACE_SECONDS = [8, 10, 12];
 const FAULT_INTERVAL_MS: [number, number] = [200, 1800];
 const EVALUATION_INTERVAL_MS = 500;
@@ -142,6 +144,7 @@
       controls,
       random: createRandom(EVACUATION_SEED_OFFSET),
     });
+    const cold = new ColdWorkload({ ...observed, random: createRandom(COLD_SEED_OFFSET) });
     const rotation = new Rotation(entries, random);
     const clients = new ClientWorkload({
       random,
@@ -181,6 +184,7 @@
       limits.run(isOver),
       statements.run(isOver),
       evacuations.run(() => areFaultsOver),
+      cold.run(isOver),
       runEvaluation(requests, runners, isOver),
       this.observePauses(isOver),
     ];
@@ -199,6 +203,7 @@
     limits.finish();
     statements.finish();
     evacuations.finish();
+    cold.finish();
     const underFaults = requests.getServedShare(startedAt, faultsEndedAt);
     const afterwards = requests.getServedShare(faultsEndedAt + BOUNDS.recoveryMs);
     checks.check(
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -164,6 +164,7 @@
       table: this.table,
       getConfiguration: () => this.state.configuration,
       findings: this.findings,
+      isLeading: () => this.replica?.role === 'leader',
       logger,
     });
     this.evacuationSubmitter = new EvacuationSubmitter({
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -4,6 +4,7 @@
 import type { UpstreamRecord } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { Findings } from '../findings/index.js';
+import { UpstreamLimits } from '../limits/index.js';
 import { RoutingTable } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
 import type { EvacuationUpdate } from '../control/Evacuations.js';
@@ -24,6 +25,8 @@
 
   readonly findings: Findings;
 
+  readonly limits: UpstreamLimits;
+
   routing: RoutingTable | undefined;
 
   /** The evacuated data centres; undefined until a control process has named them. */
@@ -43,6 +46,12 @@
 
   constructor(private readonly options: ClusterViewOptions) {
     this.findings = new Findings({ now: () => performance.now(), logger: options.logger });
+    this.limits = new UpstreamLimits({
+      table: this.upstreamTable,
+      findings: this.findings,
+      getService: (name) => this.routing?.getService(name),
+      logger: options.logger,
+    });
   }
 
   get version(): number {
--- a/packages/gateway/src/entry/EntryMetrics.ts
+++ b/packages/gateway/src/entry/EntryMetrics.ts
@@ -101,6 +101,12 @@
       'Number of evacuations and returns in force',
       () => view.evacuation?.revision ?? 0,
     );
+    addGauge(
+      registry,
+      'upstreams_cold',
+      'Upstreams that take work and have a limit because they are cold',
+      () => view.limits.getColdIds().length,
+    );
     addGauge(
       registry,
       'prompt_parts_quarantined',
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -111,6 +111,10 @@
   /** Bytes that bodies of requests may hold, and those of responses as many again. */
   memoryBytes?: number;
   maxBodyBytes?: number;
+  /** Requests per second that a cold upstream bears; without it, cold ones have no limit. */
+  coldRequestsPerSecond?: number;
+  /** True, the default, if the process hears of upstreams that turn cold. */
+  isInTouch?: boolean;
 }
 
 const DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024;
@@ -126,6 +130,7 @@
 ): Promise<TestEntry> {
   const { ratio = 1, extra = 100, heldTokens = 0, placementMs = 0 } = options;
   const { memoryBytes = DEFAULT_MEMORY_BYTES, maxBodyBytes = 99 } = options;
+  const { coldRequestsPerSecond, isInTouch = true } = options;
   const { lifetime = new ProcessLifetime({ graceMs: Infinity }) } = options;
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   upstreams.forEach((upstream, index) =>
@@ -156,7 +161,7 @@
     statements,
     shortPromptEngines: new ShortPromptEngines(view),
     startupGate: new StartupGate({ windowMs: 0 }),
-    permits: createPermitClient(view),
+    permits: createPermitClient(view, isInTouch),
     dataCentre: 'near',
     random: () => 0,
   });
@@ -185,7 +190,8 @@
     responseMemory,
     logger: silentLogger,
   });
-  const routing = createRouting(routeFields, maxBodyBytes);
+  const routing = createRouting(routeFields, maxBodyBytes, coldRequestsPerSecond);
+  view.routing = routing;
   const server = createServer((request, response) => {
     handler.run(new Exchange(request, response, () => false), routing);
   });
@@ -209,10 +215,15 @@
 }
 
 /** Creates a client without schedulers. */
-export function createPermitClient(view: ClusterView): PermitClient {
+export function createPermitClient(view: ClusterView, isInTouch = true): PermitClient {
   const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
   const schedulers = new SchedulerSelector({ view, linkPool });
-  return new PermitClient({ view, schedulers, logger: silentLogger });
+  return new PermitClient({
+    view,
+    schedulers,
+    isInTouch: () => isInTouch,
+    logger: silentLogger,
+  });
 }
 
 /** Lets requests wait before they are placed. */
@@ -239,7 +250,11 @@
   };
 }
 
-function createRouting(routeFields: Partial<Route>, maxBodyBytes: number): RoutingTable {
+function createRouting(
+  routeFields: Partial<Route>,
+  maxBodyBytes: number,
+  coldRequestsPerSecond: number | undefined,
+): RoutingTable {
   const route: Route = {
     name: 'r',
     host: 'a.example',
@@ -259,7 +274,7 @@
   return new RoutingTable({
     version: 1,
     routes: [route],
-    services: [{ name: 's', healthPath: '/', maxConnections: 9 }],
+    services: [{ name: 's', healthPath: '/', maxConnections: 9, coldRequestsPerSecond }],
     limits: { maxHeaderBytes: 9999, maxBodyBytes, headerTimeoutMs: 999, idleTimeoutMs: 999 },
     customers: [{ name: 't', keys: ['good'] }],
   });
