Spread short prompts while engines are spare, share long prefills without disruption

Cause: short prompts were packed onto few engines however many were idle, so they shared passes; a pass counted prefills of 50 to 180 ms by elapsed time, although they begin with the next pass; a long prompt that was late anyway took the few idle engines for seconds from those that could be on time.

EngineLoad counts what a pass takes with all that is in it, for pauses and for first events that are due, with a tenth to spare. Parts of a prefill go to every engine where they disrupt nobody, idle or not. A prompt that no number of engines can serve on time takes spare idle engines only, or is refused at once.

The pass simulation reported events at the start of a pass; it reports them at its end now, ends requests whose clients leave and has refused ones come back once.

--- a/packages/scheduling/src/engines/EngineLoad.ts
+++ b/packages/scheduling/src/engines/EngineLoad.ts
@@ -28,11 +28,18 @@
 /** Share of the running pass that a new job is expected to wait for. */
 export const REMAINING_PASS_SHARE = 0.75;
 
+/** Share of a pause limit that a predicted pass may use, as predictions err by some percent. */
+const PAUSE_SHARE = 0.9;
+
 interface RunningJob extends Required<EngineDemand> {
   job: EngineJob;
   /** Monotonic time in milliseconds at which the prefill is expected to end. */
   prefillEndAt: number;
   isDecoding: boolean;
+  /** Monotonic time in milliseconds at which the first event is expected. */
+  firstEventAt: number;
+  /** Monotonic time in milliseconds by which the first event is due; infinite if it is late. */
+  dueAt: number;
   /** True when a pause of the job is already expected to exceed `EngineJob.pauseMs`. */
   missesPauseLimit: boolean;
 }
@@ -44,6 +51,8 @@
   heldTokens: number;
   /** Number of jobs with a short prefill. */
   shortPrompts: number;
+  /** Number of jobs and helper parts with a long prefill. */
+  longPrompts: number;
   prefilling: RunningJob[];
 }
 
@@ -80,18 +89,24 @@
     return this.getTotals().heldTokens;
   }
 
+  /** True when a long prompt, or a part of one, is on the engine. */
+  get hasLongPrompt(): boolean {
+    return this.getTotals().longPrompts > 0;
+  }
+
   /**
    * Gets the milliseconds until all pending prompts are prefilled. Prompts that arrive during a
    * pass are prefilled together in the next one and get their first event at its end. Therefore, a
-   * prompt whose prefill takes no longer than the decode steps of a pass is counted in full until
-   * its first event is reported; a longer one is counted with its remaining time.
+   * short prefill counts in full until the first event is reported; a long one counts with its
+   * remaining time.
    */
   getBacklogMs(now: number): number {
-    const { profile } = this.model;
-    const passMs = profile.stepsPerPass * profile.stepMs;
     let sum = 0;
     for (const { prefillMs, prefillEndAt } of this.getTotals().prefilling)
-      sum += prefillMs <= passMs ? prefillMs : Math.min(prefillMs, Math.max(0, prefillEndAt - now));
+      sum +=
+        prefillMs <= LONG_PREFILL_MS
+          ? prefillMs
+          : Math.min(prefillMs, Math.max(0, prefillEndAt - now));
     return sum;
   }
 
@@ -108,31 +123,44 @@
 
   /**
    * Gets the cost that another prefill would cause to the jobs of the engine: the sum of the loss
-   * costs of the jobs that would exceed their pause limit with it and were not expected to before.
-   * Helper parts are not counted.
+   * costs of the jobs that would exceed their pause limit or miss their objective with it, and were
+   * not expected to before. Helper parts have no pauses.
    */
   getDisruptionCost(prefillMs: number, now: number): number {
-    const passWithJobMs = this.model.getPassMs(this.decodingCount + 1, this.heldTokens);
-    const expectedPauseMs = passWithJobMs + this.getBacklogMs(now) + prefillMs;
+    const expectedPauseMs = this.getPauseMs(prefillMs, now);
     let sum = 0;
-    for (const { missesPauseLimit, isHelper, job, prefillMs: otherPrefillMs } of this.jobs.values())
-      if (!missesPauseLimit && !isHelper && expectedPauseMs > job.pauseMs)
-        sum += getLossCost(otherPrefillMs);
+    for (const running of this.jobs.values())
+      if (isDisrupted(running, prefillMs, expectedPauseMs)) sum += getLossCost(running.prefillMs);
     return sum;
   }
 
-  add(job: EngineJob, demand: EngineDemand, now: number): void {
-    const expectedPauseMs = this.getBacklogMs(now) + demand.prefillMs;
+  /** Gets the duration in milliseconds of a pass with another prefill and all pending ones. */
+  private getPauseMs(prefillMs: number, now: number): number {
+    const { prefilling } = this.getTotals();
+    const decodingCount = this.decodingCount + prefilling.length + 1;
+    const passMs = this.model.getPassMs(decodingCount, this.heldTokens);
+    return passMs + this.getBacklogMs(now) + prefillMs;
+  }
+
+  /** @param dueAt - Time by which the first event is due; infinite if it does not matter. */
+  add(job: EngineJob, demand: EngineDemand, now: number, dueAt = Infinity): void {
+    const expectedPauseMs = this.getPauseMs(demand.prefillMs, now);
+    const firstEventAt = now + this.getFirstEventMs(demand.prefillMs, now);
+    // Beside other jobs the prefill begins with the next pass, and that pass includes their steps.
+    const prefillEndAt = this.size === 0 ? now + demand.prefillMs : firstEventAt;
     for (const running of this.jobs.values()) {
       if (running.isDecoding && expectedPauseMs > running.job.pauseMs)
         running.missesPauseLimit = true;
+      if (!running.isDecoding) running.firstEventAt += demand.prefillMs;
     }
     this.jobs.set(job.id, {
       isHelper: false,
       ...demand,
       job,
-      prefillEndAt: now + expectedPauseMs,
+      prefillEndAt,
       isDecoding: false,
+      firstEventAt,
+      dueAt: firstEventAt > dueAt ? Infinity : dueAt,
       missesPauseLimit: false,
     });
     this.totals = undefined;
@@ -169,6 +197,19 @@
   return 1 + prefillMs / MS_PER_SECOND;
 }
 
+/** Returns true when another prefill costs a job, which is fine without it, its objective. */
+function isDisrupted(running: RunningJob, prefillMs: number, expectedPauseMs: number): boolean {
+  if (!running.isDecoding) {
+    const { firstEventAt, dueAt } = running;
+    return firstEventAt <= dueAt && firstEventAt + prefillMs > dueAt;
+  }
+  return (
+    !running.isHelper &&
+    !running.missesPauseLimit &&
+    expectedPauseMs > running.job.pauseMs * PAUSE_SHARE
+  );
+}
+
 function computeTotals(jobs: RunningJob[]): Totals {
   return {
     decodingCount: jobs.filter(({ isDecoding }) => isDecoding).length,
@@ -176,6 +217,8 @@
     shortPrompts: jobs.filter(
       ({ isHelper, prefillMs }) => !isHelper && prefillMs <= LONG_PREFILL_MS,
     ).length,
+    longPrompts: jobs.filter(({ isHelper, prefillMs }) => isHelper || prefillMs > LONG_PREFILL_MS)
+      .length,
     prefilling: jobs.filter(({ isDecoding }) => !isDecoding),
   };
 }
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -18,6 +18,7 @@
 import type { EngineDescriptor } from './EngineLoad.js';
 import { LatencyModel } from './LatencyModel.js';
 import type { PerformanceProfile } from './LatencyModel.js';
+import { LongPromptDemand } from './LongPromptDemand.js';
 import { PartTrials } from './PartTrials.js';
 import { OnTimeOrder } from './OnTimeOrder.js';
 import type { WaitingJob } from './OnTimeOrder.js';
@@ -49,6 +50,8 @@
 const DRAIN_MS = 1500;
 /** Maximum number of engines that short prompts leave to long ones. */
 const MAX_HELD_ENGINES = 4;
+/** Idle engines, beside those that long prompts usually need, up to which short ones are packed. */
+const MIN_IDLE_ENGINES = MAX_ENGINES_PER_PROMPT;
 /** Share of its objective for which a queued multi-engine prompt holds back later long prompts. */
 const HOLD_BACK_SHARE = 0.5;
 
@@ -87,6 +90,8 @@
 
   private readonly spareCapacity: SpareCapacity;
 
+  private readonly longPromptDemand: LongPromptDemand;
+
   private queue: WaitingJob[] = [];
 
   /** Engines that short prompts leave to a long one, which could not be on time otherwise. */
@@ -101,6 +106,7 @@
     this.model = new LatencyModel(options.profile);
     this.order = new OnTimeOrder({ getLeastMs: (job) => this.getLeastFirstEventMs(job) });
     this.spareCapacity = new SpareCapacity(options);
+    this.longPromptDemand = new LongPromptDemand(options);
     this.limiter =
       options.limiter ?? new RateLimiter({ now: options.now, getLimit: () => undefined });
     this.poison = options.poison ?? new PoisonTable({ now: options.now });
@@ -133,7 +139,8 @@
       arrivedAt: now - job.waitedMs,
       deadlineAt: now + Math.min(remainingMs, patienceMs + MIN_DECODE_MS),
     };
-    if (!this.isLong(job)) this.spareCapacity.recordArrival(job.priority);
+    if (this.isLong(job)) this.longPromptDemand.recordArrival(this.getEngineMs(job));
+    else this.spareCapacity.recordArrival(job.priority);
     const decision =
       this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
@@ -236,22 +243,28 @@
         : QUEUED;
     const usable = this.getCandidates(job, maxHeldTokens, now);
     const candidates = suspectParts.length > 0 ? getLeastUsed(usable) : usable;
+    const helperCandidates =
+      suspectParts.length > 0
+        ? candidates
+        : this.getCandidates({ ...job, promptTokens: 0 }, maxHeldTokens, now, this.isLong(job));
     const context = {
       job,
       candidates,
+      helperCandidates,
       engineCount: this.loads.size,
       prefillMs,
       slackMs,
       remainingMs,
       maxHeldTokens,
       now,
+      hasSpareEngines: this.hasSpareEngines(),
       getFailureRate: (load: EngineLoad) => this.health.getFailureRate(load.engine.id, now),
       hasLimit: this.hasLimit,
     };
     if (this.needsMultipleEngines(job)) {
       const choice = chooseMultipleEngines(context);
-      if (choice) return this.assign(job, choice, prefillMs, suspectParts, now);
-      return this.queueMultiEngineJob(job, prefillMs, remainingMs, maxHeldTokens);
+      if (choice) return this.assign(job, choice, prefillMs, suspectParts, now, now + slackMs);
+      return this.queueMultiEngineJob(waiting, prefillMs, remainingMs, maxHeldTokens);
     }
     const isLong = prefillMs > LONG_PREFILL_MS;
     const choice = isLong ? chooseForLongPrompt(context) : chooseForShortPrompt(context);
@@ -260,7 +273,7 @@
       ? canWaitForIdleEngine(slackMs, prefillMs, remainingMs)
       : this.order.canBeOnTime(waiting, now);
     if (choice && (choice.isAcceptable || !canWait))
-      return this.assign(job, choice, prefillMs, suspectParts, now);
+      return this.assign(job, choice, prefillMs, suspectParts, now, now + slackMs);
     // Lower bound of the time needed, with the most helpers; short prompts get none.
     if (remainingMs < prefillMs / (MAX_HELPERS + 1) + MIN_DECODE_MS)
       return this.refuse('the time left is too short');
@@ -280,16 +293,20 @@
 
   /** Queues a prompt that needs several engines while it can still be served, else refuses it. */
   private queueMultiEngineJob(
-    job: EngineJob,
+    waiting: WaitingJob,
     prefillMs: number,
     remainingMs: number,
     maxHeldTokens: number,
   ): EngineDecision {
+    const { job, arrivedAt } = waiting;
+    const now = this.options.now();
     const engines = Math.min(MAX_ENGINES_PER_PROMPT, this.loads.size);
     if (engines * maxHeldTokens < job.promptTokens)
       return this.refuse('the prompt exceeds the memory of all engines');
     if (remainingMs < prefillMs / engines + MIN_DECODE_MS)
       return this.refuse('the time left is too short');
+    const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
+    if (prefillMs / engines > slackMs) return this.refuse('engines are busy');
     return { kind: 'queued' };
   }
 
@@ -350,6 +367,20 @@
     return Math.floor(this.options.profile.kvCacheTokens * MEMORY_SHARE);
   }
 
+  /** Gets the milliseconds for which a long prompt occupies engines, in total. */
+  private getEngineMs({ promptTokens }: EngineJob): number {
+    return this.model.getPrefillMs(promptTokens) + DRAIN_MS;
+  }
+
+  /** Returns true while more engines are idle than long prompts need. */
+  private hasSpareEngines(): boolean {
+    const loads = [...this.loads.values()];
+    const idle = loads.filter(({ size }) => size === 0).length;
+    if (idle <= MIN_IDLE_ENGINES) return false;
+    const used = loads.filter(({ hasLongPrompt }) => hasLongPrompt).length;
+    return idle + used > this.longPromptDemand.getEngineCount() + MIN_IDLE_ENGINES;
+  }
+
   /**
    * Finds the engines to be drained for the first long prompt that waits and would be late if it did
    * so any longer: those with the fewest jobs, as many as it needs.
@@ -396,8 +427,13 @@
     return healthy.length > 0 ? healthy : usable;
   }
 
-  private getCandidates(job: EngineJob, maxHeldTokens: number, now: number): EngineLoad[] {
-    const isShort = !this.isLong(job);
+  private getCandidates(
+    job: EngineJob,
+    maxHeldTokens: number,
+    now: number,
+    isLong = this.isLong(job),
+  ): EngineLoad[] {
+    const isShort = !isLong;
     const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
     const isPaced = this.getUrgentRate(job.priority) > 0;
     return this.getHealthy(job, now).filter(
@@ -432,12 +468,13 @@
     prefillMs: number,
     suspectParts: string[],
     now: number,
+    dueAt: number,
   ): EngineDecision {
     const { load, helpers, heldTokens } = choice;
     const partMs = prefillMs / (helpers.length + 1);
     const engines = [load, ...helpers.map((helper) => helper.load)];
     const expectedMs = Math.max(...engines.map((each) => each.getFirstEventMs(partMs, now)));
-    load.add(job, { prefillMs: partMs, heldTokens }, now);
+    load.add(job, { prefillMs: partMs, heldTokens }, now, dueAt);
     this.health.recordJob(load.engine.id, job.id);
     this.limiter.recordSend(load.engine.id);
     if (!this.isLong(job)) this.spareCapacity.recordPlacement();
@@ -449,6 +486,7 @@
         helperJob,
         { prefillMs: partMs, heldTokens: helper.heldTokens, isHelper: true },
         now,
+        dueAt,
       ),
     );
     return {
--- /dev/null
+++ b/packages/scheduling/src/engines/LongPromptDemand.ts
@@ -0,0 +1,36 @@
+/** Options of {@link LongPromptDemand}. */
+export interface LongPromptDemandOptions {
+  /** Gets the monotonic time in milliseconds. */
+  now: () => number;
+}
+
+/** Milliseconds over which arrivals are counted. */
+const WINDOW_MS = 4000;
+
+/** Number of engines that the long prompts which arrive occupy on average. */
+export class LongPromptDemand {
+  private readonly arrivals: { at: number; engineMs: number }[] = [];
+
+  private totalMs = 0;
+
+  private readonly startedAt: number;
+
+  constructor(private readonly options: LongPromptDemandOptions) {
+    this.startedAt = options.now();
+  }
+
+  /** @param engineMs - Milliseconds for which the prompt occupies engines, in total. */
+  recordArrival(engineMs: number): void {
+    this.arrivals.push({ at: this.options.now(), engineMs });
+    this.totalMs += engineMs;
+  }
+
+  /** Gets the number of engines; infinite until arrivals have been counted for long enough. */
+  getEngineCount(): number {
+    const since = this.options.now() - WINDOW_MS;
+    if (since < this.startedAt) return Infinity;
+    while (this.arrivals[0] && this.arrivals[0].at <= since)
+      this.totalMs -= this.arrivals.shift()?.engineMs ?? 0;
+    return this.totalMs / WINDOW_MS;
+  }
+}
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -24,6 +24,8 @@
   job: EngineJob;
   /** Engines that can accept the prompt. */
   candidates: EngineLoad[];
+  /** Engines that can prefill a part of the prompt without holding it, or can accept it. */
+  helperCandidates: EngineLoad[];
   /** Number of all engines, including busy ones. */
   engineCount: number;
   /** Prefill time in milliseconds on one engine. */
@@ -36,6 +38,8 @@
   maxHeldTokens: number;
   /** Monotonic time in milliseconds. */
   now: number;
+  /** True while more engines are idle than the long prompts need that usually arrive. */
+  hasSpareEngines: boolean;
   /** Gets the recent failure rate of an engine, 0 to 1. */
   getFailureRate: (load: EngineLoad) => number;
   /**
--- a/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForLongPrompt.ts
@@ -1,49 +1,27 @@
 import { getLossCost } from '../EngineLoad.js';
+import { minBy, OBJECTIVE_SHARE, PREFILL_SHARE } from './EngineChoice.js';
+import type { ChoiceContext, EngineChoice } from './EngineChoice.js';
 import type { EngineLoad } from '../EngineLoad.js';
-import { minBy, MAX_HELPER_FAILURE_RATE, OBJECTIVE_SHARE, PREFILL_SHARE } from './EngineChoice.js';
-import type { ChoiceContext, EngineChoice, HelperChoice } from './EngineChoice.js';
+import { choosePrefillEngines } from './choosePrefillEngines.js';
 
-/** Cost of an engine in another data centre, as a fraction of a failed or late request. */
-const LONG_PROMPT_DISTANCE_COST = 0.1;
-/** Cost of an engine without a limit while others have one, in the same terms. */
-const UNLIMITED_ENGINE_COST = 0.5;
 /** Maximum number of engines that help to prefill a prompt that does not need several engines. */
 export const MAX_HELPERS = 6;
 
 /**
- * Chooses an idle engine for a long prompt. Idle engines of the same data centre help with the
- * prefill when it would take more than its share of the objective on one engine. Without an idle
- * engine, the busy engine of the lowest cost is chosen.
+ * Chooses engines on which a long prompt breaks no pause limit and no objective. Others help with
+ * the prefill when it would take more than its share of the objective on one engine. Without such
+ * engines, the one of the lowest cost is chosen.
  */
-export function chooseForLongPrompt({
-  job,
-  candidates,
-  prefillMs,
-  now,
-  getFailureRate,
-  hasLimit,
-}: ChoiceContext): EngineChoice | undefined {
-  const heldTokens = job.promptTokens;
-  const isReliable = (load: EngineLoad): boolean => getFailureRate(load) < MAX_HELPER_FAILURE_RATE;
-  const idle = candidates.filter((load) => load.size === 0);
-  const limitedFirst = [...idle].sort((a, b) => Number(hasLimit(b)) - Number(hasLimit(a)));
-  const someHaveLimits = limitedFirst[0] !== undefined && hasLimit(limitedFirst[0]);
-  const bestIdle = minBy(
-    limitedFirst,
-    (load) =>
-      Number(load.engine.dataCentre !== job.dataCentre) * LONG_PROMPT_DISTANCE_COST +
-      Number(someHaveLimits && !hasLimit(load)) * UNLIMITED_ENGINE_COST +
-      getFailureRate(load),
-  );
-  if (bestIdle) {
-    const parts = Math.ceil(prefillMs / (job.objectiveMs * PREFILL_SHARE));
-    return {
-      load: bestIdle,
-      helpers: getHelpers(bestIdle, limitedFirst.filter(isReliable), parts),
-      heldTokens,
-      isAcceptable: true,
-    };
-  }
+export function chooseForLongPrompt(context: ChoiceContext): EngineChoice | undefined {
+  const { job, candidates, prefillMs, slackMs, now, getFailureRate } = context;
+  const least = Math.ceil(prefillMs / (job.objectiveMs * PREFILL_SHARE));
+  const choice = choosePrefillEngines(context, {
+    least: Math.min(MAX_HELPERS + 1, least),
+    most: MAX_HELPERS + 1,
+    holders: 1,
+    limitMs: slackMs,
+  });
+  if (choice) return choice;
   const cost = (load: EngineLoad): number => {
     const firstMs = load.getFirstEventMs(prefillMs, now);
     const isLate = firstMs > job.objectiveMs * OBJECTIVE_SHARE;
@@ -54,16 +32,5 @@
   };
   const best = minBy(candidates, cost);
   if (!best) return undefined;
-  const isAcceptable =
-    best.getDisruptionCost(prefillMs, now) === 0 &&
-    best.shortPromptCount === 0 &&
-    best.getFirstEventMs(prefillMs, now) < job.objectiveMs * OBJECTIVE_SHARE;
-  return { load: best, helpers: [], heldTokens, isAcceptable };
-}
-
-function getHelpers(first: EngineLoad, idle: EngineLoad[], parts: number): HelperChoice[] {
-  return idle
-    .filter((load) => load !== first && load.engine.dataCentre === first.engine.dataCentre)
-    .slice(0, Math.min(MAX_HELPERS, parts - 1))
-    .map((load) => ({ load, heldTokens: 0 }));
+  return { load: best, helpers: [], heldTokens: job.promptTokens, isAcceptable: best.size === 0 };
 }
--- a/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
@@ -21,8 +21,8 @@
 const EXCESS_COST = 0.08;
 
 /**
- * Chooses the engine of the lowest cost for a short prompt, packing short prompts so that others
- * stay idle.
+ * Chooses the engine of the lowest cost for a short prompt. Short prompts are packed so that others
+ * stay idle, unless more engines are idle than long prompts need.
  */
 export function chooseForShortPrompt({
   job,
@@ -30,15 +30,14 @@
   prefillMs,
   slackMs,
   now,
+  hasSpareEngines,
   getFailureRate,
 }: ChoiceContext): EngineChoice | undefined {
   const cost = (load: EngineLoad): number => {
     const firstMs = load.getFirstEventMs(prefillMs, now);
     const shortPrompts = load.shortPromptCount;
     const excess = Math.max(0, shortPrompts - TARGET_SHORT_PROMPTS) * EXCESS_COST;
-    const idle = load.size === 0 ? IDLE_ENGINE_COST : 0;
-    const fill =
-      (1 - Math.min(shortPrompts, TARGET_SHORT_PROMPTS) / TARGET_SHORT_PROMPTS) * IDLE_ENGINE_COST;
+    const packing = hasSpareEngines ? 0 : getPackingCost(load);
     const delay = firstMs / job.objectiveMs;
     const distance = load.engine.dataCentre === job.dataCentre ? 0 : SHORT_PROMPT_DISTANCE_COST;
     const own = firstMs > slackMs ? 1 + delay : delay * DELAY_COST;
@@ -47,8 +46,7 @@
       getFailureRate(load) +
       load.getDisruptionCost(prefillMs, now) +
       excess +
-      idle +
-      fill +
+      packing +
       distance
     );
   };
@@ -57,3 +55,9 @@
   const isAcceptable = best.getFirstEventMs(prefillMs, now) <= slackMs / OBJECTIVE_SHARE;
   return { load: best, helpers: [], heldTokens: job.promptTokens, isAcceptable };
 }
+
+function getPackingCost({ size, shortPromptCount }: EngineLoad): number {
+  const idle = size === 0 ? 1 : 0;
+  const unfilled = 1 - Math.min(shortPromptCount, TARGET_SHORT_PROMPTS) / TARGET_SHORT_PROMPTS;
+  return (idle + unfilled) * IDLE_ENGINE_COST;
+}
--- a/packages/scheduling/src/engines/choices/index.ts
+++ b/packages/scheduling/src/engines/choices/index.ts
@@ -3,3 +3,4 @@
 export * from './chooseForLongPrompt.js';
 export * from './chooseForShortPrompt.js';
 export * from './chooseMultipleEngines.js';
+export * from './choosePrefillEngines.js';
--- a/packages/scheduling/tests/engines/EngineSimulation.ts
+++ b/packages/scheduling/tests/engines/EngineSimulation.ts
@@ -19,12 +19,17 @@
  */
 const PREFILL_PER_PASS_MS = 450;
 
+/** Longest time after which a client comes back, as a share of the time that it has left. */
+const MAX_RETURN_SHARE = 1 / 3;
+
 /** A request of a simulated load. */
 export interface Arrival {
   atMs: number;
   job: EngineJob;
   /** Number of events after the first one. */
   events: number;
+  /** Milliseconds on the way between client and engine, of which the policy knows nothing. */
+  transferMs?: number;
 }
 
 /** A job, or a helper part of one, on a simulated engine. */
@@ -54,9 +59,9 @@
 
   /** Emits an event; the first one must meet the objective, later ones the pause limit. */
   emitEvent(at: number): void {
-    const { job, atMs } = this.arrival;
+    const { job, atMs, transferMs = 0 } = this.arrival;
     const isFirst = this.emittedEvents === 0;
-    if (isFirst ? at - atMs > job.objectiveMs : at - this.lastEventAt > job.pauseMs)
+    if (isFirst ? at - atMs + transferMs > job.objectiveMs : at - this.lastEventAt > job.pauseMs)
       this.isLate = true;
     this.lastEventAt = at;
     this.emittedEvents += 1;
@@ -73,31 +78,50 @@
 /** Share of requests on time, keyed by the objective of the requests in milliseconds. */
 export type OnTimeShares = Map<number, number>;
 
+interface SimulatedEngine {
+  /** Time at which the running pass ends. */
+  freeAt: number;
+  jobs: SimulatedJob[];
+  /** Jobs that emit an event at the end of the running pass. */
+  emitting: SimulatedJob[];
+}
+
 /**
  * Simulates engines that prefill prompts between the decode steps of a pass. A pass takes as long
- * as its decode steps plus the prefill that fits into it.
+ * as its decode steps plus the prefill that fits into it. Events are emitted at its end.
  */
 export class EngineSimulation {
   now = 0;
 
-  private readonly model = new LatencyModel(ENGINE_PROFILE);
+  private readonly model: LatencyModel;
+
+  private readonly engines = new Map<string, SimulatedEngine>();
+
+  /** Ids of requests that are complete or whose client has left. */
+  private readonly ended = new Set<string>();
 
-  private readonly engines = new Map<string, { freeAt: number; jobs: SimulatedJob[] }>();
+  /** Ids of requests that come back, by the time at which they do. */
+  private readonly returning = new Map<number, string[]>();
+
+  private readonly returned = new Set<string>();
 
   private readonly onTimeIds = new Set<string>();
 
   private policy: SchedulingPolicy | undefined;
 
-  constructor(engines: string[]) {
-    engines.forEach((id) => this.engines.set(id, { freeAt: 0, jobs: [] }));
+  constructor(engines: string[], profile = ENGINE_PROFILE) {
+    this.model = new LatencyModel(profile);
+    engines.forEach((id) => this.engines.set(id, { freeAt: 0, jobs: [], emitting: [] }));
   }
 
   private readonly arrivals = new Map<string, Arrival>();
 
-  /** Applies the decision on a job; only placements have an effect. */
+  /** Applies the decision on a job. */
   decide(id: string, decision: EngineDecision): void {
     const arrival = this.arrivals.get(id);
-    if (!arrival || decision.kind !== 'placed') return;
+    if (!arrival) return;
+    if (decision.kind === 'refused') this.comeBack(arrival, decision.retryAfterMs);
+    if (decision.kind !== 'placed') return;
     const parts = 1 + decision.helpers.length;
     const remainingMs = this.model.getPrefillMs(arrival.job.promptTokens) / parts;
     [decision.engine, ...decision.helpers.map((help) => help.engine)].forEach((engine, index) => {
@@ -109,9 +133,13 @@
   run(arrivals: Arrival[], policy: SchedulingPolicy, tick: () => void): OnTimeShares {
     this.policy = policy;
     const pending = [...arrivals].sort((a, b) => a.atMs - b.atMs);
+    const { returning } = this;
+    const leaving = [...arrivals].sort((a, b) => getLeaveAt(a) - getLeaveAt(b));
     const endAt = (pending.at(-1)?.atMs ?? 0) + 20_000;
     for (; this.now < endAt; this.now += 1) {
       while (pending[0] && pending[0].atMs <= this.now) this.start(pending.shift());
+      for (const id of returning.get(this.now) ?? []) this.start(this.arrivals.get(id));
+      while (leaving[0] && getLeaveAt(leaving[0]) <= this.now) this.end(leaving.shift());
       this.engines.forEach((engine) => this.advance(engine));
       if (this.now % 20 === 0) tick();
     }
@@ -129,39 +157,78 @@
     return new Map([...groups].map(([group, { all, onTime }]) => [group, onTime / all]));
   }
 
+  /** Places a request, which is new or comes back. */
   private start(arrival: Arrival | undefined): void {
     if (!arrival) return;
-    this.arrivals.set(arrival.job.id, arrival);
-    const decision = this.policy?.place(arrival.job);
-    if (decision) this.decide(arrival.job.id, decision);
+    const { job } = arrival;
+    this.arrivals.set(job.id, arrival);
+    const remainingMs = getLeaveAt(arrival) - this.now;
+    const decision = this.policy?.place({ ...job, remainingMs });
+    if (decision) this.decide(job.id, decision);
+  }
+
+  /** Has a client come back once after a refusal, unless too little of its time would be left. */
+  private comeBack({ job, atMs }: Arrival, afterMs: number): void {
+    const leftMs = atMs + job.remainingMs - this.now;
+    if (this.returned.has(job.id) || afterMs > leftMs * MAX_RETURN_SHARE) return;
+    this.returned.add(job.id);
+    const at = this.now + Math.max(1, Math.round(afterMs));
+    this.returning.set(at, [...(this.returning.get(at) ?? []), job.id]);
   }
 
-  private advance(engine: { freeAt: number; jobs: SimulatedJob[] }): void {
-    if (this.now < engine.freeAt || engine.jobs.length === 0) return;
+  /** Ends a request whose client leaves, unless it has ended. */
+  private end(arrival: Arrival | undefined): void {
+    if (!arrival || this.ended.has(arrival.job.id)) return;
+    this.ended.add(arrival.job.id);
+    this.engines.forEach((engine) => {
+      const engineState = engine;
+      const isOther = (job: SimulatedJob): boolean => job.arrival !== arrival;
+      engineState.jobs = engine.jobs.filter(isOther);
+      engineState.emitting = engine.emitting.filter(isOther);
+    });
+    this.policy?.release(arrival.job.id);
+  }
+
+  private advance(engine: SimulatedEngine): void {
+    if (this.now < engine.freeAt) return;
+    this.endPass(engine);
     const engineState = engine;
-    const decodingJobs = engineState.jobs.filter((job) => job.isPrefilled && !job.isHelper);
-    const tokens = engineState.jobs.reduce((sum, { arrival }) => sum + arrival.job.promptTokens, 0);
+    if (engine.jobs.length === 0) return;
+    const decodingJobs = engine.jobs.filter((job) => job.isPrefilled && !job.isHelper);
+    const tokens = engine.jobs.reduce((sum, { arrival }) => sum + arrival.job.promptTokens, 0);
     const passMs = this.model.getPassMs(decodingJobs.length, tokens);
     let budgetMs = PREFILL_PER_PASS_MS;
-    for (const job of engineState.jobs) budgetMs -= job.prefill(budgetMs);
+    for (const job of engine.jobs) budgetMs -= job.prefill(budgetMs);
     engineState.freeAt = this.now + passMs + (PREFILL_PER_PASS_MS - budgetMs);
-    for (const job of engineState.jobs.filter(
-      ({ isPrefilled, isHelper }) => isPrefilled && !isHelper,
-    )) {
+    engineState.emitting = engine.jobs.filter((job) => job.isPrefilled && !job.isHelper);
+  }
+
+  /** Reports the events of a pass when it ends, which an observer cannot know earlier. */
+  private endPass(engine: SimulatedEngine): void {
+    const engineState = engine;
+    const { emitting, freeAt } = engine;
+    engineState.emitting = [];
+    for (const job of emitting) {
       if (job.emittedEvents === 0) this.policy?.markDecoding(job.arrival.job.id);
-      job.emitEvent(engineState.freeAt);
+      job.emitEvent(freeAt);
     }
-    const done = engineState.jobs.filter(isDone);
-    engineState.jobs = engineState.jobs.filter((job) => !isDone(job));
+    const done = engine.jobs.filter(isDone);
+    engineState.jobs = engine.jobs.filter((job) => !isDone(job));
     // Last, as the policy may place queued jobs on this engine.
     for (const { arrival, isHelper, isLate } of done) {
       if (isHelper) continue;
+      this.ended.add(arrival.job.id);
       if (!isLate) this.onTimeIds.add(arrival.job.id);
       this.policy?.release(arrival.job.id);
     }
   }
 }
 
+/** Gets the time at which the client stops waiting for the answer. */
+function getLeaveAt({ atMs, job }: Arrival): number {
+  return atMs + job.remainingMs;
+}
+
 function isDone({ isHelper, isPrefilled, emittedEvents, arrival }: SimulatedJob): boolean {
   return isHelper ? isPrefilled : emittedEvents > arrival.events;
 }
