Seek another upstream soon for a prompt that was accepted and has not begun

Cause: an attempt counted as stalled after three times the expected time to its first event. A prompt held for 2.6 s and expected in 3.5 s was not looked at for 10.5 s, the rest of its time limit, although estimates of long prompts err by 1 to 2 percent. Without an estimate the timeout was four objectives, often beyond the deadline.

The work still goes on until a place is certain.

--- a/packages/gateway/src/entry/AttemptTimeouts.ts
+++ b/packages/gateway/src/entry/AttemptTimeouts.ts
@@ -15,8 +15,14 @@
  * objective.
  */
 const FIRST_EVENT_OBJECTIVE_FACTOR = 4;
-/** Timeout for the first event, as a multiple of the scheduler's estimate of its time. */
-const EXPECTED_TIME_FACTOR = 3;
+/**
+ * Timeout for the first event: the scheduler's estimate of its time, plus a share of it for the error
+ * of the estimate, and the time in milliseconds for which other prompts may delay it.
+ */
+const EXPECTED_TIME_FACTOR = 1.3;
+const EXPECTED_DELAY_MS = 500;
+/** Share of the time left, after which a request whose time is not estimated counts as stalled. */
+const REMAINING_TIME_SHARE = 0.5;
 /** Timeout between events, as a multiple of the route's objective for that interval. */
 const PAUSE_FACTOR = 4;
 /** Lower bound of stream timeouts in ms. Clients wait at least 2 s; this is half of that. */
@@ -24,8 +30,16 @@
 /** Lower bound of the timeout for a complete response in milliseconds. */
 const MIN_RESPONSE_TIMEOUT_MS = 250;
 
-/** Gets the timeouts for a request; its deadline, which applies as well, is not considered. */
-export function getAttemptTimeouts(route: Route, expectedMs: number | undefined): AttemptTimeouts {
+/**
+ * Gets the timeouts for an attempt.
+ * @param expectedMs - The scheduler's estimate of the time to the first event.
+ * @param remainingMs - Time until the deadline of the request.
+ */
+export function getAttemptTimeouts(
+  route: Pick<Route, 'kind' | 'objectiveMs' | 'pauseMs'>,
+  expectedMs: number | undefined,
+  remainingMs: number,
+): AttemptTimeouts {
   if (route.kind !== 'stream') {
     const firstResponseMs = Math.max(
       MIN_RESPONSE_TIMEOUT_MS,
@@ -35,8 +49,11 @@
   }
   const firstMs =
     expectedMs === undefined
-      ? route.objectiveMs * FIRST_EVENT_OBJECTIVE_FACTOR
-      : expectedMs * EXPECTED_TIME_FACTOR;
+      ? Math.min(
+          route.objectiveMs * FIRST_EVENT_OBJECTIVE_FACTOR,
+          remainingMs * REMAINING_TIME_SHARE,
+        )
+      : expectedMs * EXPECTED_TIME_FACTOR + EXPECTED_DELAY_MS;
   return {
     firstResponseMs: Math.max(MIN_STREAM_TIMEOUT_MS, firstMs),
     betweenEventsMs: Math.max(MIN_STREAM_TIMEOUT_MS, route.pauseMs * PAUSE_FACTOR),
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -345,7 +345,9 @@
           ticket: memory.getTicket(address),
         })),
         handle: this.observeEvents(context, handle, expectedMs, () => handover.cancel()),
-        timeouts: mayHandOver ? getAttemptTimeouts(context.route, expectedMs) : undefined,
+        timeouts: mayHandOver
+          ? getAttemptTimeouts(context.route, expectedMs, context.remainingMs)
+          : undefined,
         abandoned: abandonment.signal,
         beginHandover: () => handover.begin(),
       }).run();
