Refuse the largest long prompts of a crest at once, spread the times to come back

Cause: while more long prompts arrived than engines can serve, the few largest took the engines of many smaller ones, and waited for seconds before it was certain that they were late. Refused clients came back after one fixed time. Packing of short prompts was all or nothing.

Change: LongPromptDemand tells the size up to which the long prompts of the last 4 s fit on the engines that short ones leave; larger new ones that need several engines are refused at once. A prompt that has been tried elsewhere is not. Retry delays are spread by half, up to a third of the time left. Packing grows as idle engines become fewer than long prompts need.

In the pass simulation, passes without decoding jobs are one step, as engines publish it.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -44,8 +44,16 @@
 /** Bounds of the retry delay of a refusal, in milliseconds. */
 const MIN_RETRY_MS = 300;
 const MAX_RETRY_MS = 1200;
+/** Share of a retry delay by which it is lengthened at most, so that not all return at once. */
+const RETRY_SPREAD = 0.5;
+/** Step of an additive sequence whose values spread evenly over 0 to 1. */
+const GOLDEN_RATIO = 0.618;
+/** Share of the time left after which a client does not come back any more. */
+const MAX_RETRY_SHARE = 1 / 3;
 /** Retry delay in milliseconds of prompts that find no turn, as bursts outlast shorter ones. */
 const OVERLOAD_RETRY_MS = 3000;
+/** Retry delay in milliseconds of prompts that engines cannot serve on time in the time left. */
+const LATE_RETRY_MS = 1500;
 /** Milliseconds in which the short prompts on an engine usually end. */
 const DRAIN_MS = 1500;
 /** Maximum number of engines that short prompts leave to long ones. */
@@ -100,6 +108,8 @@
   /** Jobs placed within `RATE_WINDOW_MS` while all engines had a limit. */
   private recentPlacements: { at: number; priority: number }[] = [];
 
+  private returnPhase = 0;
+
   private model: LatencyModel;
 
   constructor(private readonly options: EngineSchedulerOptions) {
@@ -141,6 +151,7 @@
     };
     if (this.isLong(job)) this.longPromptDemand.recordArrival(this.getEngineMs(job));
     else this.spareCapacity.recordArrival(job.priority);
+    if (this.isTooLarge(job)) return this.refuse(job, 'engines are busy', OVERLOAD_RETRY_MS);
     const decision =
       this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
@@ -239,7 +250,7 @@
     const suspectParts = verdict.kind === 'suspect' ? verdict.parts : [];
     if (this.trials.isRunning(suspectParts))
       return remainingMs < prefillMs + MIN_DECODE_MS
-        ? this.refuse('the time left is too short')
+        ? this.refuse(job, 'the time left is too short')
         : QUEUED;
     const usable = this.getCandidates(job, maxHeldTokens, now);
     const candidates = suspectParts.length > 0 ? getLeastUsed(usable) : usable;
@@ -257,7 +268,7 @@
       remainingMs,
       maxHeldTokens,
       now,
-      hasSpareEngines: this.hasSpareEngines(),
+      packing: this.getPacking(),
       getFailureRate: (load: EngineLoad) => this.health.getFailureRate(load.engine.id, now),
       hasLimit: this.hasLimit,
     };
@@ -276,18 +287,22 @@
       return this.assign(job, choice, prefillMs, suspectParts, now, now + slackMs);
     // Lower bound of the time needed, with the most helpers; short prompts get none.
     if (remainingMs < prefillMs / (MAX_HELPERS + 1) + MIN_DECODE_MS)
-      return this.refuse('the time left is too short');
+      return this.refuse(job, 'the time left is too short');
     if (isLong && this.isOverloaded(prefillMs, remainingMs, now))
-      return this.refuse('engines are busy');
+      return this.refuse(job, 'engines are busy');
     if (!isLong && this.hasNoTurn(waiting, now))
-      return this.refuse('engines are busy', OVERLOAD_RETRY_MS, OVERLOAD_RETRY_MS);
+      return this.refuse(job, 'engines are busy', OVERLOAD_RETRY_MS);
     const limitWaitMs = this.getLimitWaitMs(job);
     const patienceMs = Math.min(
       remainingMs - MIN_DECODE_MS,
       job.objectiveMs * LIMIT_PATIENCE - waitedMs,
     );
     if (limitWaitMs > 0 && limitWaitMs + prefillMs > patienceMs)
-      return this.refuse('the limits of the engines leave too little', limitWaitMs);
+      return this.refuse(
+        job,
+        'the limits of the engines leave too little',
+        Math.min(limitWaitMs, MAX_RETRY_MS),
+      );
     return { kind: 'queued' };
   }
 
@@ -302,11 +317,12 @@
     const now = this.options.now();
     const engines = Math.min(MAX_ENGINES_PER_PROMPT, this.loads.size);
     if (engines * maxHeldTokens < job.promptTokens)
-      return this.refuse('the prompt exceeds the memory of all engines');
+      return this.refuse(job, 'the prompt exceeds the memory of all engines');
     if (remainingMs < prefillMs / engines + MIN_DECODE_MS)
-      return this.refuse('the time left is too short');
+      return this.refuse(job, 'the time left is too short');
     const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
-    if (prefillMs / engines > slackMs) return this.refuse('engines are busy');
+    if (isFirstAttempt(job) && prefillMs / engines > slackMs)
+      return this.refuse(job, 'engines are busy', LATE_RETRY_MS);
     return { kind: 'queued' };
   }
 
@@ -372,13 +388,34 @@
     return this.model.getPrefillMs(promptTokens) + DRAIN_MS;
   }
 
-  /** Returns true while more engines are idle than long prompts need. */
-  private hasSpareEngines(): boolean {
+  /**
+   * Returns true when more long prompts arrive than engines can serve, and a new one that needs
+   * several of them is larger than those that can be served together.
+   */
+  private isTooLarge(job: EngineJob): boolean {
+    if (!isFirstAttempt(job) || !this.needsMultipleEngines(job)) return false;
+    const engines = this.getLongPromptEngines();
+    return this.getEngineMs(job) > this.longPromptDemand.getLargestMs(engines);
+  }
+
+  /** Gets the number of engines that short prompts leave to long ones. */
+  private getLongPromptEngines(): number {
+    const loads = [...this.loads.values()];
+    const slots = loads.reduce((sum, { engine }) => sum + engine.capacity, 0);
+    const used = loads.reduce((sum, { shortPromptCount }) => sum + shortPromptCount, 0);
+    return loads.length * (1 - used / Math.max(1, slots));
+  }
+
+  /**
+   * Gets how much short prompts are to be packed, from 0 while enough engines are idle for the long
+   * prompts that usually arrive, to 1 without idle engines.
+   */
+  private getPacking(): number {
     const loads = [...this.loads.values()];
     const idle = loads.filter(({ size }) => size === 0).length;
-    if (idle <= MIN_IDLE_ENGINES) return false;
     const used = loads.filter(({ hasLongPrompt }) => hasLongPrompt).length;
-    return idle + used > this.longPromptDemand.getEngineCount() + MIN_IDLE_ENGINES;
+    const missing = this.longPromptDemand.getEngineCount() - used + MIN_IDLE_ENGINES - idle;
+    return Math.min(1, Math.max(0, missing / MIN_IDLE_ENGINES));
   }
 
   /**
@@ -544,12 +581,25 @@
     return (urgent.length * MS_PER_SECOND) / RATE_WINDOW_MS;
   }
 
-  private refuse(reason: string, waitMs?: number, mostMs = MAX_RETRY_MS): EngineDecision {
+  /**
+   * Refuses a job. Clients that are refused together come back at different times, or they would
+   * find as little room as before.
+   */
+  private refuse(
+    job: EngineJob,
+    reason: string,
+    waitMs = this.getLeastBacklogMs(),
+  ): EngineDecision {
+    this.returnPhase = (this.returnPhase + GOLDEN_RATIO) % 1;
+    const spreadMs = Math.max(MIN_RETRY_MS, waitMs) * (1 + this.returnPhase * RETRY_SPREAD);
+    const mostMs = Math.max(MIN_RETRY_MS, job.remainingMs * MAX_RETRY_SHARE);
+    return { kind: 'refused', retryAfterMs: Math.round(Math.min(spreadMs, mostMs)), reason };
+  }
+
+  private getLeastBacklogMs(): number {
     const now = this.options.now();
     const waits = [...this.loads.values()].map((load) => load.getBacklogMs(now));
-    const ownWaitMs = waitMs ?? Math.min(...waits);
-    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(ownWaitMs, mostMs));
-    return { kind: 'refused', retryAfterMs, reason };
+    return Math.min(MAX_RETRY_MS, ...waits);
   }
 }
 
@@ -564,6 +614,11 @@
   return candidates.filter(({ size }) => size === fewest);
 }
 
+/** Returns true for a job that no engine has failed, whose client may come back after a refusal. */
+function isFirstAttempt({ excluded, isResumption }: EngineJob): boolean {
+  return excluded.length === 0 && !isResumption;
+}
+
 /** Gets the time by which the first event is due to meet the objective. */
 function getFirstEventDueAt({ job, arrivedAt }: WaitingJob): number {
   return arrivedAt + job.objectiveMs;
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -38,8 +38,8 @@
   maxHeldTokens: number;
   /** Monotonic time in milliseconds. */
   now: number;
-  /** True while more engines are idle than the long prompts need that usually arrive. */
-  hasSpareEngines: boolean;
+  /** How much short prompts are to be packed, so that engines stay idle for long ones; 0 to 1. */
+  packing: number;
   /** Gets the recent failure rate of an engine, 0 to 1. */
   getFailureRate: (load: EngineLoad) => number;
   /**
--- a/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
@@ -30,14 +30,14 @@
   prefillMs,
   slackMs,
   now,
-  hasSpareEngines,
+  packing,
   getFailureRate,
 }: ChoiceContext): EngineChoice | undefined {
   const cost = (load: EngineLoad): number => {
     const firstMs = load.getFirstEventMs(prefillMs, now);
     const shortPrompts = load.shortPromptCount;
     const excess = Math.max(0, shortPrompts - TARGET_SHORT_PROMPTS) * EXCESS_COST;
-    const packing = hasSpareEngines ? 0 : getPackingCost(load);
+    const packingCost = packing * getPackingCost(load);
     const delay = firstMs / job.objectiveMs;
     const distance = load.engine.dataCentre === job.dataCentre ? 0 : SHORT_PROMPT_DISTANCE_COST;
     const own = firstMs > slackMs ? 1 + delay : delay * DELAY_COST;
@@ -46,7 +46,7 @@
       getFailureRate(load) +
       load.getDisruptionCost(prefillMs, now) +
       excess +
-      packing +
+      packingCost +
       distance
     );
   };
--- a/packages/scheduling/src/engines/choices/choosePrefillEngines.ts
+++ b/packages/scheduling/src/engines/choices/choosePrefillEngines.ts
@@ -58,17 +58,12 @@
  * short prompts, then those in the data centre of the caller. Idle engines are spared while they are
  * few.
  */
-function rank(
-  { job, hasLimit, hasSpareEngines }: ChoiceContext,
-  loads: EngineLoad[],
-): EngineLoad[] {
+function rank({ job, hasLimit }: ChoiceContext, loads: EngineLoad[]): EngineLoad[] {
   const getRank = (load: EngineLoad): number => {
     const hasShort = load.shortPromptCount > 0;
-    const isSpared = process.env.BUSYFIRST ? (load.size === 0) !== hasSpareEngines : load.size > 0;
+    const isBusy = load.size > 0;
     const isFar = load.engine.dataCentre !== job.dataCentre;
-    return (
-      Number(!hasLimit(load)) * 8 + Number(hasShort) * 4 + Number(isSpared) * 2 + Number(isFar)
-    );
+    return Number(!hasLimit(load)) * 8 + Number(hasShort) * 4 + Number(isBusy) * 2 + Number(isFar);
   };
   return loads
     .map((load) => ({ load, rank: getRank(load) }))
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -324,6 +324,36 @@
   assert.equal(scheduler.place(createJob('s', {})).kind, 'queued');
 });
 
+// Guards against clients that are refused together and come back together.
+test('clients that are refused together come back at different times', () => {
+  const { scheduler } = createScheduler(1);
+  const tooLate = { ...LONG, promptTokens: 300_000, remainingMs: 5000 };
+  const delays = Array.from({ length: 8 }, (_, index) => {
+    const decision = scheduler.place(createJob(`l${index}`, tooLate));
+    return decision.kind === 'refused' ? decision.retryAfterMs : 0;
+  });
+  assert.ok(Math.min(...delays) >= 300);
+  assert.equal(new Set(delays).size, delays.length);
+});
+
+// Guards against the few largest prompts that take the engines of many smaller ones.
+test('while more long prompts arrive than fit, the largest new ones are refused at once', () => {
+  const { scheduler, clock } = createScheduler(8);
+  clock.now = 5000;
+  const small = { ...LONG, promptTokens: 100_000 };
+  const fields = { ...LONG, remainingMs: 30_000, objectiveMs: 12_000 };
+  ['a', 'b'].forEach((id) => scheduler.place(createJob(id, small)));
+  assert.notEqual(
+    scheduler.place(createJob('l', { ...fields, promptTokens: 400_000 })).kind,
+    'refused',
+  );
+  const larger = { ...fields, promptTokens: 450_000 };
+  const decision = scheduler.place(createJob('m', larger));
+  assert.ok(decision.kind === 'refused' && decision.retryAfterMs >= 3000);
+  assert.notEqual(scheduler.place(createJob('c', small)).kind, 'refused');
+  assert.notEqual(scheduler.place(createJob('n', { ...larger, excluded: ['e9'] })).kind, 'refused');
+});
+
 /** Events after the first one, per answer. */
 const SHORT_EVENTS = 38;
 const LONG_EVENTS = 19;
--- a/packages/scheduling/tests/engines/EngineSimulation.ts
+++ b/packages/scheduling/tests/engines/EngineSimulation.ts
@@ -18,6 +18,8 @@
  * 34 steps with 2048 prompt tokens each, at 154,000 tokens per second.
  */
 const PREFILL_PER_PASS_MS = 450;
+/** Prefill time in milliseconds of one step: that of 2048 prompt tokens. */
+const PREFILL_PER_STEP_MS = 13;
 
 /** Longest time after which a client comes back, as a share of the time that it has left. */
 const MAX_RETURN_SHARE = 1 / 3;
@@ -196,10 +198,14 @@
     if (engine.jobs.length === 0) return;
     const decodingJobs = engine.jobs.filter((job) => job.isPrefilled && !job.isHelper);
     const tokens = engine.jobs.reduce((sum, { arrival }) => sum + arrival.job.promptTokens, 0);
-    const passMs = this.model.getPassMs(decodingJobs.length, tokens);
-    let budgetMs = PREFILL_PER_PASS_MS;
+    // Without decoding jobs, a pass is one step.
+    const isStep = decodingJobs.length === 0 && engine.jobs.some((job) => !job.isPrefilled);
+    const passMs = isStep ? 0 : this.model.getPassMs(decodingJobs.length, tokens);
+    const totalMs = isStep ? PREFILL_PER_STEP_MS : PREFILL_PER_PASS_MS;
+    let budgetMs = totalMs;
     for (const job of engine.jobs) budgetMs -= job.prefill(budgetMs);
-    engineState.freeAt = this.now + passMs + (PREFILL_PER_PASS_MS - budgetMs);
+    engineState.freeAt = this.now + passMs + (totalMs - budgetMs);
+    if (isStep) return;
     engineState.emitting = engine.jobs.filter((job) => job.isPrefilled && !job.isHelper);
   }
 
