--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -152,7 +152,8 @@
     };
     if (this.isLong(job)) this.longPromptDemand.recordArrival(this.getEngineMs(job));
     else this.spareCapacity.recordArrival(job.priority);
-    if (this.isTooLarge(job)) return this.refuse(job, 'engines are busy', OVERLOAD_RETRY_MS);
+    if (this.isTooLarge(job))
+      return this.refuse(job, 'larger than what engines can serve now', OVERLOAD_RETRY_MS);
     const decision =
       this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
@@ -324,7 +325,7 @@
       return this.refuse(job, 'the time left is too short');
     const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
     if (isFirstAttempt(job) && prefillMs / engines > slackMs)
-      return this.refuse(job, 'engines are busy', LATE_RETRY_MS);
+      return this.refuse(job, 'too few engines to be on time', LATE_RETRY_MS);
     return { kind: 'queued' };
   }
 
