--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -20,6 +20,7 @@
 import type { EngineDescriptor } from './EngineLoad.js';
 import { LatencyModel } from './LatencyModel.js';
 import type { PerformanceProfile } from './LatencyModel.js';
+import { LongPromptDemand } from './LongPromptDemand.js';
 import { PartTrials } from './PartTrials.js';
 import { OnTimeOrder } from './OnTimeOrder.js';
 import type { WaitingJob } from './OnTimeOrder.js';
@@ -47,12 +48,22 @@
 /** Bounds of the retry delay of a refusal, in milliseconds. */
 const MIN_RETRY_MS = 300;
 const MAX_RETRY_MS = 1200;
+/** Share of a retry delay by which it is lengthened at most, so that not all return at once. */
+const RETRY_SPREAD = 0.5;
+/** Step of an additive sequence whose values spread evenly over 0 to 1. */
+const GOLDEN_RATIO = 0.618;
+/** Share of the time left after which a client does not come back any more. */
+const MAX_RETRY_SHARE = 1 / 3;
 /** Retry delay in milliseconds of prompts that find no turn, as bursts outlast shorter ones. */
 const OVERLOAD_RETRY_MS = 3000;
+/** Retry delay in milliseconds of prompts that engines cannot serve on time in the time left. */
+const LATE_RETRY_MS = 1500;
 /** Milliseconds in which the short prompts on an engine usually end. */
 const DRAIN_MS = 1500;
 /** Maximum number of engines that short prompts leave to long ones. */
 const MAX_HELD_ENGINES = 4;
+/** Idle engines, beside those that long prompts usually need, up to which short ones are packed. */
+const MIN_IDLE_ENGINES = MAX_ENGINES_PER_PROMPT;
 /** Share of its objective for which a queued multi-engine prompt holds back later long prompts. */
 const HOLD_BACK_SHARE = 0.5;
 
@@ -101,6 +112,8 @@
 
   private readonly spareCapacity: SpareCapacity;
 
+  private readonly longPromptDemand: LongPromptDemand;
+
   private queue: WaitingJob[] = [];
 
   /** Engines that short prompts leave to a long one, which could not be on time otherwise. */
@@ -109,12 +122,15 @@
   /** Jobs placed within `RATE_WINDOW_MS` while all engines had a limit. */
   private recentPlacements: { at: number; priority: number }[] = [];
 
+  private returnPhase = 0;
+
   private model: LatencyModel;
 
   constructor(private readonly options: EngineSchedulerOptions) {
     this.model = new LatencyModel(options.profile);
     this.order = new OnTimeOrder({ getLeastMs: (job) => this.getLeastFirstEventMs(job) });
     this.spareCapacity = new SpareCapacity(options);
+    this.longPromptDemand = new LongPromptDemand(options);
     this.limiter =
       options.limiter ?? new RateLimiter({ now: options.now, getLimit: () => undefined });
     this.poison = options.poison ?? new PoisonTable({ now: options.now });
@@ -132,17 +148,17 @@
    */
   setEngines(engines: EngineDescriptor[]): void {
     const wanted = new Set(engines.map((engine) => engine.id));
-    for (const [id, load] of this.loads) {
-      if (wanted.has(id)) continue;
+    const gone = [...this.loads].filter(([id]) => !wanted.has(id));
+    const added = engines.filter(({ id }) => !this.loads.has(id));
+    if (gone.length === 0 && added.length === 0) return;
+    for (const [id, load] of gone) {
       this.loads.delete(id);
+      this.comparableFrom.delete(id);
       if (load.size > 0) this.withdrawn.set(id, load);
     }
-    for (const id of this.comparableFrom.keys())
-      if (!wanted.has(id)) this.comparableFrom.delete(id);
     this.health.retain((id) => wanted.has(id));
     this.options.capacity?.retain((id) => wanted.has(id));
-    for (const engine of engines) {
-      if (this.loads.has(engine.id)) continue;
+    for (const engine of added) {
       const load = this.withdrawn.get(engine.id) ?? new EngineLoad(engine, this.model);
       this.loads.set(engine.id, load);
       this.withdrawn.delete(engine.id);
@@ -161,7 +177,10 @@
       arrivedAt: now - job.waitedMs,
       deadlineAt: now + Math.min(remainingMs, patienceMs + MIN_DECODE_MS),
     };
-    if (!this.isLong(job)) this.spareCapacity.recordArrival(job.priority);
+    if (this.isLong(job)) this.longPromptDemand.recordArrival(this.getEngineMs(job));
+    else this.spareCapacity.recordArrival(job.priority);
+    if (this.isTooLarge(job))
+      return this.refuse(job, 'larger than what engines can serve now', OVERLOAD_RETRY_MS);
     const decision =
       this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
@@ -284,65 +303,81 @@
     const suspectParts = verdict.kind === 'suspect' ? verdict.parts : [];
     if (this.trials.isRunning(suspectParts))
       return remainingMs < prefillMs + MIN_DECODE_MS
-        ? this.refuse('the time left is too short')
+        ? this.refuse(job, 'the time left is too short')
         : QUEUED;
-    const usable = this.getCandidates(job, maxHeldTokens, now);
+    const isLong = prefillMs > LONG_PREFILL_MS;
+    const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
+    const usable = this.getCandidates(job, heldTokens, maxHeldTokens, now);
     const candidates = suspectParts.length > 0 ? getLeastUsed(usable) : usable;
+    const needsHelpers = isLong && suspectParts.length === 0;
+    const helperCandidates = needsHelpers
+      ? this.getCandidates(job, 0, maxHeldTokens, now)
+      : candidates;
     const context = {
       job,
       candidates,
+      helperCandidates,
       engineCount: this.loads.size,
       prefillMs,
       slackMs,
       remainingMs,
       maxHeldTokens,
       now,
+      packing: candidates.length > 0 ? this.getPacking() : 1,
       getFailureRate: (load: EngineLoad) => this.health.getFailureRate(load.engine.id, now),
       hasLimit: this.hasLimit,
       getColdUse: ({ engine }: EngineLoad) => this.limiter.getColdUse(engine.id),
     };
     if (this.needsMultipleEngines(job)) {
       const choice = chooseMultipleEngines(context);
-      if (choice) return this.assign(job, choice, prefillMs, suspectParts, now);
-      return this.queueMultiEngineJob(job, prefillMs, remainingMs, maxHeldTokens);
+      if (choice) return this.assign(job, choice, prefillMs, suspectParts, now, now + slackMs);
+      return this.queueMultiEngineJob(waiting, prefillMs, remainingMs, maxHeldTokens);
     }
-    const isLong = prefillMs > LONG_PREFILL_MS;
     const choice = isLong ? chooseForLongPrompt(context) : chooseForShortPrompt(context);
     // An engine that makes the job late is used only when the job cannot wait for a better one.
     const canWait = isLong
       ? canWaitForIdleEngine(slackMs, prefillMs, remainingMs)
       : this.order.canBeOnTime(waiting, now);
     if (choice && (choice.isAcceptable || !canWait))
-      return this.assign(job, choice, prefillMs, suspectParts, now);
+      return this.assign(job, choice, prefillMs, suspectParts, now, now + slackMs);
     // Lower bound of the time needed, with the most helpers; short prompts get none.
     if (remainingMs < prefillMs / (MAX_HELPERS + 1) + MIN_DECODE_MS)
-      return this.refuse('the time left is too short');
+      return this.refuse(job, 'the time left is too short');
     if (isLong && this.isOverloaded(prefillMs, remainingMs, now))
-      return this.refuse('engines are busy');
+      return this.refuse(job, 'engines are busy');
     if (!isLong && this.hasNoTurn(waiting, now))
-      return this.refuse('engines are busy', OVERLOAD_RETRY_MS, OVERLOAD_RETRY_MS);
+      return this.refuse(job, 'engines are busy', OVERLOAD_RETRY_MS);
     const limitWaitMs = this.getLimitWaitMs(job);
     const patienceMs = Math.min(
       remainingMs - MIN_DECODE_MS,
       job.objectiveMs * LIMIT_PATIENCE - waitedMs,
     );
     if (limitWaitMs > 0 && limitWaitMs + prefillMs > patienceMs)
-      return this.refuse('the limits of the engines leave too little', limitWaitMs);
+      return this.refuse(
+        job,
+        'the limits of the engines leave too little',
+        Math.min(limitWaitMs, MAX_RETRY_MS),
+      );
     return { kind: 'queued' };
   }
 
   /** Queues a prompt that needs several engines while it can still be served, else refuses it. */
   private queueMultiEngineJob(
-    job: EngineJob,
+    waiting: WaitingJob,
     prefillMs: number,
     remainingMs: number,
     maxHeldTokens: number,
   ): EngineDecision {
+    const { job, arrivedAt } = waiting;
+    const now = this.options.now();
     const engines = Math.min(MAX_ENGINES_PER_PROMPT, this.loads.size);
     if (engines * maxHeldTokens < job.promptTokens)
-      return this.refuse('the prompt exceeds the memory of all engines');
+      return this.refuse(job, 'the prompt exceeds the memory of all engines');
     if (remainingMs < prefillMs / engines + MIN_DECODE_MS)
-      return this.refuse('the time left is too short');
+      return this.refuse(job, 'the time left is too short');
+    const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
+    if (isFirstAttempt(job) && prefillMs / engines > slackMs)
+      return this.refuse(job, 'too few engines to be on time', LATE_RETRY_MS);
     return { kind: 'queued' };
   }
 
@@ -403,6 +438,41 @@
     return Math.floor(this.options.profile.kvCacheTokens * MEMORY_SHARE);
   }
 
+  /** Gets the milliseconds for which a long prompt occupies engines, in total. */
+  private getEngineMs({ promptTokens }: EngineJob): number {
+    return this.model.getPrefillMs(promptTokens) + DRAIN_MS;
+  }
+
+  /**
+   * Returns true when more long prompts arrive than engines can serve, and a new one that needs
+   * several of them is larger than those that can be served together.
+   */
+  private isTooLarge(job: EngineJob): boolean {
+    if (!isFirstAttempt(job) || !this.needsMultipleEngines(job)) return false;
+    const engines = this.getLongPromptEngines();
+    return this.getEngineMs(job) > this.longPromptDemand.getLargestMs(engines);
+  }
+
+  /** Gets the number of engines that short prompts leave to long ones. */
+  private getLongPromptEngines(): number {
+    const loads = [...this.loads.values()];
+    const slots = loads.reduce((sum, { engine }) => sum + engine.capacity, 0);
+    const used = loads.reduce((sum, { shortPromptCount }) => sum + shortPromptCount, 0);
+    return loads.length * (1 - used / Math.max(1, slots));
+  }
+
+  /**
+   * Gets how much short prompts are to be packed, from 0 while enough engines are idle for the long
+   * prompts that usually arrive, to 1 without idle engines.
+   */
+  private getPacking(): number {
+    const loads = [...this.loads.values()];
+    const idle = loads.filter(({ size }) => size === 0).length;
+    const used = loads.filter(({ hasLongPrompt }) => hasLongPrompt).length;
+    const missing = this.longPromptDemand.getEngineCount() - used + MIN_IDLE_ENGINES - idle;
+    return Math.min(1, Math.max(0, missing / MIN_IDLE_ENGINES));
+  }
+
   /**
    * Finds the engines to be drained for the first long prompt that waits and would be late if it did
    * so any longer: those with the fewest jobs, as many as it needs.
@@ -449,18 +519,30 @@
     return healthy.length > 0 ? healthy : usable;
   }
 
-  private getCandidates(job: EngineJob, maxHeldTokens: number, now: number): EngineLoad[] {
+  /**
+   * Gets the engines that can accept a job now.
+   * @remarks Called for each queued job at each change, so it ends early while all are full.
+   */
+  private getCandidates(
+    job: EngineJob,
+    heldTokens: number,
+    maxHeldTokens: number,
+    now: number,
+  ): EngineLoad[] {
     const isShort = !this.isLong(job);
-    const heldTokens = Math.min(job.promptTokens, maxHeldTokens);
     const isPaced = this.getUrgentRate(job.priority) > 0;
-    return this.getHealthy(job, now).filter(
+    const accepting = [...this.loads.values()].filter(
       (load) =>
         !load.isFull &&
         !(isShort && this.heldEngines.has(load.engine.id)) &&
+        !job.excluded.includes(load.engine.id) &&
         !this.trials.hasEngine(load.engine.id) &&
         this.limiter.getWaitMs(load.engine.id, isPaced) === 0 &&
         load.heldTokens + heldTokens <= maxHeldTokens,
     );
+    if (accepting.length === 0) return accepting;
+    const healthy = new Set(this.getHealthy(job, now));
+    return accepting.filter((load) => healthy.has(load));
   }
 
   /**
@@ -485,13 +567,14 @@
     prefillMs: number,
     suspectParts: string[],
     now: number,
+    dueAt: number,
   ): EngineDecision {
     const { load, helpers, heldTokens } = choice;
     const partMs = prefillMs / (helpers.length + 1);
     const engines = [load, ...helpers.map((helper) => helper.load)];
     const expectedMs = Math.max(...engines.map((each) => each.getFirstEventMs(partMs, now)));
     if (helpers.length === 0) this.observePlacement(job, load, expectedMs);
-    load.add(job, { prefillMs: partMs, heldTokens }, now);
+    load.add(job, { prefillMs: partMs, heldTokens }, now, dueAt);
     this.health.recordJob(load.engine.id, job.id);
     this.limiter.recordSend(load.engine.id);
     if (!this.isLong(job)) this.spareCapacity.recordPlacement();
@@ -503,6 +586,7 @@
         helperJob,
         { prefillMs: partMs, heldTokens: helper.heldTokens, isHelper: true },
         now,
+        dueAt,
       ),
     );
     return {
@@ -553,10 +637,13 @@
   /** Requests per second that all engines together accept; infinite if one has no limit. */
   private get totalLimit(): number {
     if (this.loads.size === 0) return Infinity;
-    return [...this.loads.keys()].reduce(
-      (sum, id) => sum + (this.limiter.getNamedLimit(id) ?? Infinity),
-      0,
-    );
+    let sum = 0;
+    for (const id of this.loads.keys()) {
+      const limit = this.limiter.getNamedLimit(id);
+      if (limit === undefined) return Infinity;
+      sum += limit;
+    }
+    return sum;
   }
 
   /**
@@ -579,18 +666,32 @@
 
   /** Gets the rate per second at which more urgent jobs were placed lately. */
   private getUrgentRate(priority: number): number {
+    if (this.recentPlacements.length === 0) return 0;
     const now = this.options.now();
     this.recentPlacements = this.recentPlacements.filter(({ at }) => at > now - RATE_WINDOW_MS);
     const urgent = this.recentPlacements.filter((placement) => placement.priority < priority);
     return (urgent.length * MS_PER_SECOND) / RATE_WINDOW_MS;
   }
 
-  private refuse(reason: string, waitMs?: number, mostMs = MAX_RETRY_MS): EngineDecision {
+  /**
+   * Refuses a job. Clients that are refused together come back at different times, or they would
+   * find as little room as before.
+   */
+  private refuse(
+    job: EngineJob,
+    reason: string,
+    waitMs = this.getLeastBacklogMs(),
+  ): EngineDecision {
+    this.returnPhase = (this.returnPhase + GOLDEN_RATIO) % 1;
+    const spreadMs = Math.max(MIN_RETRY_MS, waitMs) * (1 + this.returnPhase * RETRY_SPREAD);
+    const mostMs = Math.max(MIN_RETRY_MS, job.remainingMs * MAX_RETRY_SHARE);
+    return { kind: 'refused', retryAfterMs: Math.round(Math.min(spreadMs, mostMs)), reason };
+  }
+
+  private getLeastBacklogMs(): number {
     const now = this.options.now();
     const waits = [...this.loads.values()].map((load) => load.getBacklogMs(now));
-    const ownWaitMs = waitMs ?? Math.min(...waits);
-    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.min(ownWaitMs, mostMs));
-    return { kind: 'refused', retryAfterMs, reason };
+    return Math.min(MAX_RETRY_MS, ...waits);
   }
 }
 
@@ -605,6 +706,11 @@
   return candidates.filter(({ size }) => size === fewest);
 }
 
+/** Returns true for a job that no engine has failed, whose client may come back after a refusal. */
+function isFirstAttempt({ excluded, isResumption }: EngineJob): boolean {
+  return excluded.length === 0 && !isResumption;
+}
+
 /** Gets the time by which the first event is due to meet the objective. */
 function getFirstEventDueAt({ job, arrivedAt }: WaitingJob): number {
   return arrivedAt + job.objectiveMs;
--- a/packages/scheduling/src/engines/choices/EngineChoice.ts
+++ b/packages/scheduling/src/engines/choices/EngineChoice.ts
@@ -24,6 +24,8 @@
   job: EngineJob;
   /** Engines that can accept the prompt. */
   candidates: EngineLoad[];
+  /** Engines that can prefill a part of the prompt without holding it, or can accept it. */
+  helperCandidates: EngineLoad[];
   /** Number of all engines, including busy ones. */
   engineCount: number;
   /** Prefill time in milliseconds on one engine. */
@@ -36,6 +38,8 @@
   maxHeldTokens: number;
   /** Monotonic time in milliseconds. */
   now: number;
+  /** How much short prompts are to be packed, so that engines stay idle for long ones; 0 to 1. */
+  packing: number;
   /** Gets the recent failure rate of an engine, 0 to 1. */
   getFailureRate: (load: EngineLoad) => number;
   /**
@@ -74,7 +78,14 @@
   return best;
 }
 
+/** Slowdown that is assumed of an engine which may be slow. */
+const RESTRICTED_ENGINE_SLOWDOWN = 0.2;
+
 /** Sorts engines so that slower ones come later; equal ones keep their order. */
 export function sortBySlowdown(loads: EngineLoad[]): EngineLoad[] {
-  return [...loads].sort((a, b) => a.slowdown - b.slowdown);
+  return [...loads].sort((a, b) => getSlowness(a) - getSlowness(b));
+}
+
+function getSlowness({ slowdown, isRestricted }: EngineLoad): number {
+  return slowdown + Number(isRestricted) * RESTRICTED_ENGINE_SLOWDOWN;
 }
--- a/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
+++ b/packages/scheduling/src/engines/choices/chooseForShortPrompt.ts
@@ -23,8 +23,8 @@
 const COLD_COST = 0.12;
 
 /**
- * Chooses the engine of the lowest cost for a short prompt, packing short prompts so that others
- * stay idle.
+ * Chooses the engine of the lowest cost for a short prompt. Short prompts are packed so that others
+ * stay idle, unless more engines are idle than long prompts need.
  */
 export function chooseForShortPrompt({
   job,
@@ -32,6 +32,7 @@
   prefillMs,
   slackMs,
   now,
+  packing,
   getFailureRate,
   getColdUse,
 }: ChoiceContext): EngineChoice | undefined {
@@ -39,9 +40,7 @@
     const firstMs = load.getFirstEventMs(prefillMs, now);
     const shortPrompts = load.shortPromptCount;
     const excess = Math.max(0, shortPrompts - TARGET_SHORT_PROMPTS) * EXCESS_COST;
-    const idle = load.size === 0 ? IDLE_ENGINE_COST : 0;
-    const fill =
-      (1 - Math.min(shortPrompts, TARGET_SHORT_PROMPTS) / TARGET_SHORT_PROMPTS) * IDLE_ENGINE_COST;
+    const packingCost = packing * getPackingCost(load);
     const delay = firstMs / job.objectiveMs;
     const distance = load.engine.dataCentre === job.dataCentre ? 0 : SHORT_PROMPT_DISTANCE_COST;
     const own = firstMs > slackMs ? 1 + delay : delay * DELAY_COST;
@@ -51,8 +50,7 @@
       load.getDisruptionCost(prefillMs, now) +
       getColdUse(load) * COLD_COST +
       excess +
-      idle +
-      fill +
+      packingCost +
       distance
     );
   };
@@ -61,3 +59,9 @@
   const isAcceptable = best.getFirstEventMs(prefillMs, now) <= slackMs / OBJECTIVE_SHARE;
   return { load: best, helpers: [], heldTokens: job.promptTokens, isAcceptable };
 }
+
+function getPackingCost({ size, shortPromptCount }: EngineLoad): number {
+  const idle = size === 0 ? 1 : 0;
+  const unfilled = 1 - Math.min(shortPromptCount, TARGET_SHORT_PROMPTS) / TARGET_SHORT_PROMPTS;
+  return (idle + unfilled) * IDLE_ENGINE_COST;
+}
