Remember the upstreams across a restart of all control processes

Cause: control and entry processes keep upstreams in memory only, so after a power failure of all nobody is known until each upstream announces itself again, up to 1.2 s after control listens. Change: control processes keep the table on disk; departures are written before they are acknowledged, if the disk does it within 100 ms. Stored upstreams are told to entry processes without a configuration only, and removed after 3 s unless they announce themselves; an upstream that announces itself after a long silence counts as changed, so that it is pushed at once. The two new cluster tests fail without the loading and without the restriction to new entry processes, respectively.

--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -13,7 +13,7 @@
 
 /** Result of a merge. */
 export type MergeResult =
-  /** The record is new or has new content. */
+  /** The record is new or has new content, or was about to be removed. */
   | 'changed'
   /** Only the sequence number and the time of the record are new. */
   | 'refreshed'
@@ -59,10 +59,24 @@
     const record = known?.bornAt === announcement.bornAt ? combine(known, received) : received;
     this.records.set(announcement.id, record);
     if (record.state === 'ready') this.markPredecessorsGone(record);
-    if (!known || !hasSameContent(record, known)) return 'changed';
+    if (!known || !hasSameContent(record, known) || this.isRenewed(record, known)) return 'changed';
     return record.sequence > known.sequence ? 'refreshed' : 'ignored';
   }
 
+  /**
+   * Merges the record of an upstream of which no process can tell whether it still exists, such as
+   * one kept on disk. It is removed after some time unless the upstream announces itself.
+   */
+  remember(announcement: Announcement, maxAgeMs: number): MergeResult {
+    const isGone = announcement.state === 'gone';
+    return this.merge(announcement, isGone ? 0 : this.silenceTimeoutMs - maxAgeMs);
+  }
+
+  /** Milliseconds until the record of an upstream that announces itself no more is removed. */
+  getRemainingMs({ lastSeenAt }: UpstreamRecord): number {
+    return lastSeenAt + this.silenceTimeoutMs - this.options.now();
+  }
+
   /**
    * Marks an upstream as gone until it announces a new incarnation.
    * @returns The record; undefined if the upstream is unknown or already gone.
@@ -105,16 +119,22 @@
   /** Removes expired tombstones and upstreams whose announcements have stopped. */
   removeExpired(): void {
     const now = this.options.now();
-    const {
-      tombstoneTtlMs = DEFAULT_TOMBSTONE_TTL_MS,
-      silenceTimeoutMs = DEFAULT_SILENCE_TIMEOUT_MS,
-    } = this.options;
+    const { tombstoneTtlMs = DEFAULT_TOMBSTONE_TTL_MS } = this.options;
     for (const [id, record] of this.records) {
-      const limit = record.state === 'gone' ? tombstoneTtlMs : silenceTimeoutMs;
+      const limit = record.state === 'gone' ? tombstoneTtlMs : this.silenceTimeoutMs;
       if (now - record.lastSeenAt > limit) this.records.delete(id);
     }
   }
 
+  private get silenceTimeoutMs(): number {
+    return this.options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS;
+  }
+
+  /** Whether others that know the record might remove it soon. */
+  private isRenewed(record: UpstreamRecord, known: UpstreamRecord): boolean {
+    return record.lastSeenAt - known.lastSeenAt > this.silenceTimeoutMs / 2;
+  }
+
   /** Whether an upstream that started later has the address, so the announcement is outdated. */
   private isAddressHeldByNewer(announcement: Announcement): boolean {
     if (announcement.state === 'gone') return false;
--- a/packages/discovery/tests/UpstreamTable.test.ts
+++ b/packages/discovery/tests/UpstreamTable.test.ts
@@ -141,3 +141,28 @@
   table.removeExpired();
   assert.deepEqual(table.getRecords(), []);
 });
+
+test('an upstream that was silent for long and announces itself has changed', () => {
+  let now = 0;
+  const table = new UpstreamTable({ now: () => now, silenceTimeoutMs: 1000 });
+  table.merge(createAnnouncement());
+  now = 400;
+  assert.equal(table.merge(createAnnouncement({ sequence: 2 })), 'refreshed');
+  now = 1000;
+  assert.equal(table.merge(createAnnouncement({ sequence: 3 })), 'changed');
+});
+
+test('a remembered upstream is removed unless it announces itself', () => {
+  let now = 0;
+  const table = new UpstreamTable({ now: () => now, silenceTimeoutMs: 10_000 });
+  table.remember(createAnnouncement(), 3000);
+  table.remember(createAnnouncement({ id: 'b', address: '10.0.0.2:80' }), 3000);
+  now = 2000;
+  assert.equal(table.merge(createAnnouncement({ sequence: 2 })), 'changed');
+  now = 3001;
+  table.removeExpired();
+  assert.deepEqual(
+    table.getReady('s').map(({ id }) => id),
+    ['a'],
+  );
+});
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -15,7 +15,7 @@
   SnapshotRequest,
   VoteRequest,
 } from '@azurecart/consensus';
-import type { Announcement } from '@azurecart/discovery';
+import type { Announcement, UpstreamRecord } from '@azurecart/discovery';
 import { UpstreamTable } from '@azurecart/discovery';
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfigurationError } from '../configuration/index.js';
@@ -37,6 +37,7 @@
 import type { JoinRequest, JoinResponse, Subscription, UpstreamUpdate } from './messages.js';
 import { PlacementService } from './PlacementService.js';
 import { UpdatePublisher } from './UpdatePublisher.js';
+import { UpstreamFile } from './UpstreamFile.js';
 
 /** Options of a {@link ControlNode}. */
 export interface ControlNodeOptions {
@@ -71,6 +72,8 @@
 const REFRESH_INTERVAL_MS = 10_000;
 /** Maximum interval in milliseconds between checks for entry processes without the configuration. */
 const PUSH_INTERVAL_MS = 60;
+/** Time limit in milliseconds for a departure to be written, once other processes know of it. */
+const SAVE_TIMEOUT_MS = 100;
 /** Number of applied entries between snapshots. */
 const SNAPSHOT_ENTRIES = 200;
 /**
@@ -97,6 +100,8 @@
 
   private findingsFile: FindingsFile | undefined;
 
+  private upstreamFile: UpstreamFile | undefined;
+
   private readonly publisher: UpdatePublisher;
 
   private readonly linkPool: LinkPool;
@@ -143,6 +148,7 @@
       now,
       isRecent: () => this.replica?.isRecent(MAX_LEADER_SILENCE_MS) ?? false,
       getCluster: () => this.getCluster(),
+      isUnconfirmed: (record) => this.upstreamFile?.isUnconfirmed(record) ?? false,
       dataCentre: settings.dataCentre,
     });
     this.placement = new PlacementService({
@@ -173,7 +179,7 @@
   /** Starts the replica, the listeners and the background tasks. */
   async start(): Promise<void> {
     const { settings, logger } = this.options;
-    await this.loadFindings();
+    await this.loadStored();
     await this.linkServer.start();
     await this.openReplica().catch((error: unknown) => {
       logger.error({ err: error }, 'failed to open the replica storage');
@@ -263,7 +269,7 @@
     const { id, service, state } = announcement;
     this.options.logger.info({ upstream: id, service, state }, 'upstream announced');
     if (state === 'ready') this.publisher.pushUpstream(record);
-    else await this.publisher.confirmUpstream(record);
+    else await this.confirmDeparture(record);
   }
 
   async leave(id: string, bornAt: number | undefined): Promise<boolean> {
@@ -273,10 +279,17 @@
     const record = this.table.markGone(id);
     if (!record) return true;
     this.options.logger.info({ upstream: id }, 'upstream left');
-    await this.publisher.confirmUpstream(record);
+    await this.confirmDeparture(record);
     return true;
   }
 
+  /** Waits until other processes know of a departure and it is on disk, both for a limited time. */
+  private async confirmDeparture(record: UpstreamRecord): Promise<void> {
+    const saved = this.upstreamFile?.save();
+    await this.publisher.confirmUpstream(record);
+    await Promise.race([saved, sleep(SAVE_TIMEOUT_MS, undefined, { ref: false })]);
+  }
+
   private async commit(proposed: VersionedDocument): Promise<void> {
     if (this.replica?.role === 'leader') await this.propose(proposed);
     else await this.callLeader(METHODS.propose, proposed);
@@ -370,15 +383,17 @@
     this.findingsFile?.save().catch(() => undefined);
   }
 
-  /** Merges the findings on disk; entry processes get them with their subscription. */
-  private async loadFindings(): Promise<void> {
+  /** Loads the findings and upstreams on disk; entry processes get them with their subscription. */
+  private async loadStored(): Promise<void> {
     const { settings, logger } = this.options;
     try {
       const disk = await FolderDisk.open(settings.dataFolder);
       this.findingsFile = new FindingsFile({ disk, findings: this.findings, logger });
       await this.findingsFile.load();
+      this.upstreamFile = new UpstreamFile({ disk, table: this.table, logger });
+      await this.upstreamFile.load();
     } catch (error) {
-      logger.warn({ err: error }, 'no stored findings');
+      logger.warn({ err: error }, 'no stored findings and upstreams');
     }
   }
 
@@ -474,6 +489,7 @@
       await sleep(MAINTENANCE_INTERVAL_MS);
       this.linkPool.retain([...this.seeds, ...this.getCluster().members]);
       this.table.removeExpired();
+      this.upstreamFile?.save().catch(() => undefined);
       this.findings.removeExpired((id) => this.table.getUpstream(id) !== undefined);
       this.shareAnnouncedUpstreams();
       this.refreshUpstreams();
--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -20,6 +20,8 @@
   /** Returns false while the local configuration may be older than an acknowledged one. */
   isRecent: () => boolean;
   getCluster: () => Omit<ClusterUpdate, 'entries'>;
+  /** Returns true for an upstream of which only the disk tells. */
+  isUnconfirmed: (record: UpstreamRecord) => boolean;
   dataCentre: string;
 }
 
@@ -71,7 +73,7 @@
       this.pushClusterSoon();
     });
     link.notify(METHODS.upstreams, {
-      records: this.options.table.getRecords().map(this.toAgedAnnouncement),
+      records: this.getRecordsFor(subscriber).map(this.toAgedAnnouncement),
     });
     // Before the configuration, without which an entry process serves no requests.
     link.notify(METHODS.findings, this.options.findings.getAll());
@@ -166,6 +168,13 @@
     return now - behindSince < REMOTE_DELAY_MS;
   }
 
+  /** Gets all upstreams. Only an entry process that has just started gets unconfirmed ones. */
+  private getRecordsFor({ kind, version }: Subscription): UpstreamRecord[] {
+    const records = this.options.table.getRecords();
+    if (kind === 'entry' && version === 0) return records;
+    return records.filter((record) => !this.options.isUnconfirmed(record));
+  }
+
   private readonly toAgedAnnouncement = (record: UpstreamRecord): AgedAnnouncement => {
     const { lastSeenAt, ...announcement } = record;
     return { ...announcement, ageMs: Math.max(0, this.options.now() - lastSeenAt) };
--- a/packages/gateway/tests/control/cluster.test.ts
+++ b/packages/gateway/tests/control/cluster.test.ts
@@ -220,6 +220,47 @@
     link.close();
   }));
 
+// Guards against requests that wait for the next announcement of each upstream after a power failure.
+test('upstreams are known again at once after a restart of all nodes', () =>
+  withCluster(async (cluster) => {
+    await cluster.nodes.get(1)?.announce(UPSTREAM);
+    await cluster.nodes.get(1)?.announce(LEAVING_UPSTREAM);
+    await cluster.waitFor(async () => (await getReadyUpstreams(cluster, 2)).length === 2);
+    // Longer than the interval of 500 ms at which the upstreams are saved.
+    await sleep(800);
+    await cluster.nodes.get(2)?.leave(LEAVING_UPSTREAM.id, undefined);
+    for (const index of [1, 2, 3, 4, 5]) await cluster.stopNode(index);
+    for (const index of [1, 2, 3, 4, 5]) await cluster.startNode(index);
+    const upstreams = await getReadyUpstreams(cluster, 2);
+    assert.deepEqual(
+      upstreams.map(({ id }) => id),
+      [UPSTREAM.id],
+    );
+    const { view, link } = await subscribe(cluster, 3);
+    await cluster.nodes.get(1)?.announce({ ...UPSTREAM, sequence: 2 });
+    // Stored upstreams are removed after 3 s.
+    await sleep(3500);
+    view.upstreamTable.removeExpired();
+    assert.deepEqual(
+      view.upstreamTable.getReady(UPSTREAM.service).map(({ id }) => id),
+      [UPSTREAM.id],
+    );
+    link.close();
+  }));
+
+// Guards against requests to an upstream that left while the node that remembers it was down.
+test('an entry process that runs is not told of upstreams that only the disk of a node knows', () =>
+  withCluster(async (cluster) => {
+    await cluster.nodes.get(1)?.announce(UPSTREAM);
+    await cluster.waitFor(async () => (await getReadyUpstreams(cluster, 2)).length === 1);
+    await sleep(800);
+    for (const index of [1, 2, 3, 4, 5]) await cluster.stopNode(index);
+    await cluster.startNode(2);
+    const { view, link } = await subscribe(cluster, 2, 7);
+    assert.deepEqual(view.upstreamTable.getRecords(), []);
+    link.close();
+  }));
+
 const UPSTREAM: Announcement = {
   id: 'u',
   bornAt: 1000,
@@ -231,15 +272,17 @@
   state: 'ready',
 };
 
-/** Subscribes a new entry process to a node. */
-async function subscribe(cluster: ControlCluster, index: number) {
+const LEAVING_UPSTREAM: Announcement = { ...UPSTREAM, id: 'l', address: '10.0.0.2:80' };
+
+/** Subscribes an entry process to a node; by default a new one without a configuration. */
+async function subscribe(cluster: ControlCluster, index: number, version = 0) {
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   const socket = connect({ host: `127.0.9.${index}`, port: cluster.linkPort });
   const link = new Link({ socket, handlers: new Map() });
   link.subscribe(({ method, body }) => {
     if (method === METHODS.upstreams) view.mergeUpstreams(body as UpstreamUpdate);
   });
-  await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version: 0 }, 1000);
+  await link.call(METHODS.subscribe, { kind: 'entry', vm: 'e', version }, 1000);
   return { view, link };
 }
 
