Elect the first leader sooner after a restart of all control processes

Change: campaigns follow each other at 0.3 of the usual delay until the first leader contact; links are tried again after 25 ms, doubling to 200; links to stored members are opened at the start; the replica opens before the listeners, for at most 200 ms. The new test of campaigns fails with the former delay.

--- a/packages/consensus/src/replica/Election.ts
+++ b/packages/consensus/src/replica/Election.ts
@@ -38,7 +38,7 @@
 
   private async campaign(): Promise<void> {
     const { state } = this.options;
-    state.resetElectionTimer();
+    state.scheduleCampaign();
     if (!(await this.collectVotes(state.term + 1, true))) return;
     const term = await state.mutex.run(() => this.voteForSelf());
     if (term === undefined) return;
--- a/packages/consensus/src/replica/ReplicaState.ts
+++ b/packages/consensus/src/replica/ReplicaState.ts
@@ -31,11 +31,11 @@
 type AppliedListener = (entry: LogEntry, result: unknown) => void;
 
 /**
- * Fraction of the election delay used for the first election after a start without leases. No vote
- * is withheld then, so the election may come early; it shortens the time without a leader after a
- * restart of all replicas.
+ * Fraction of the election delay used until the first leader contact after a start without leases.
+ * No vote is withheld then, so elections may come early; it shortens the time without a leader after
+ * a restart of all replicas, some of which cannot be reached at first.
  */
-const FIRST_DELAY_FACTOR = 0.3;
+const STARTUP_DELAY_FACTOR = 0.3;
 
 /** Entries retained before a snapshot, so that a slightly lagging member needs no snapshot. */
 const TRAILING_ENTRIES = 500;
@@ -79,6 +79,9 @@
 
   isStopped = false;
 
+  /** True until the first leader contact, unless a lease may have been granted before the start. */
+  private isStarting: boolean;
+
   onApplied: AppliedListener | undefined;
 
   readonly log = new MemoryLog();
@@ -93,8 +96,9 @@
 
   constructor(readonly options: ReplicaStateOptions) {
     this.leaderContactAt = options.now();
+    this.isStarting = !options.usesLeases;
     if (options.usesLeases) this.recordLeaderContact();
-    else this.electionDueAt = this.leaderContactAt + this.getElectionDelay() * FIRST_DELAY_FACTOR;
+    else this.scheduleCampaign();
   }
 
   /**
@@ -191,9 +195,16 @@
   recordLeaderContact(): void {
     this.leaderContactAt = this.options.now();
     this.votesWithheldUntil = this.leaderContactAt + this.options.timings.electionTimeoutMs;
+    this.isStarting = false;
     this.resetElectionTimer();
   }
 
+  /** Sets the time of the next campaign of a replica that has had no success so far. */
+  scheduleCampaign(): void {
+    const factor = this.isStarting ? STARTUP_DELAY_FACTOR : 1;
+    this.electionDueAt = this.options.now() + this.getElectionDelay() * factor;
+  }
+
   resetElectionTimer(): void {
     this.electionDueAt = this.options.now() + this.getElectionDelay();
   }
--- a/packages/consensus/tests/replica/restart.test.ts
+++ b/packages/consensus/tests/replica/restart.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FileStorage, Replica } from '../../src/index.js';
-import type { AppendRequest, LogEntry, VoteRequest } from '../../src/index.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { encodeMembers, FileStorage, Replica } from '../../src/index.js';
+import type { AppendRequest, LogEntry, VoteRequest, VoteResponse } from '../../src/index.js';
 import { MemoryDisk } from '../storage/MemoryDisk.js';
 import { Cluster } from './Cluster.js';
 import { TextList } from './TextList.js';
@@ -83,6 +84,59 @@
   await replica.stop();
 });
 
+/** Creates a disk whose log names three voters. */
+async function createMemberLog(): Promise<MemoryDisk> {
+  const disk = new MemoryDisk();
+  const storage = new FileStorage(disk);
+  await storage.load();
+  await storage.saveBallot({ term: 1, votedFor: undefined });
+  const members = ['a', 'b', 'c'].map((id) => ({ id, name: id, address: id, voter: true }));
+  const payload = encodeMembers(members);
+  await storage.append([{ index: 1, term: 1, kind: 'members', payload }]);
+  await storage.close();
+  return disk;
+}
+
+// Guards against a second without a leader because the first campaign came before the others ran.
+test('a restarted replica that reaches nobody soon campaigns again', async (context) => {
+  let now = 0;
+  let campaigns = 0;
+  const vote = async (): Promise<VoteResponse> => {
+    campaigns += 1;
+    throw new Error('not reachable');
+  };
+  const replica = new Replica({
+    id: 'b',
+    name: 'b',
+    address: 'b',
+    storage: new FileStorage(await createMemberLog()),
+    stateMachine: new TextList(),
+    network: {
+      openPeer: () => ({ ...new Cluster('b').openPeer('a'), vote }),
+    },
+    timings: { electionTimeoutMs: 1000 },
+    usesLeases: false,
+    now: () => now,
+    random: () => 0,
+  });
+  context.after(() => replica.stop());
+  await replica.start();
+  // Each campaign asks two others. A replica that had a leader waits for 1000 ms between them.
+  for (const [time, count] of [
+    [300, 2],
+    [600, 4],
+    [900, 6],
+  ] as const) {
+    now = time;
+    for (let tries = 0; campaigns < count && tries < 100; tries += 1) await sleep(20);
+    assert.equal(campaigns, count);
+  }
+  await replica.append(createAppend(0));
+  now = 1800;
+  await sleep(100);
+  assert.equal(campaigns, 6);
+});
+
 test('a log of large commands is compacted by its size in bytes', async () => {
   const replica = await startReplica(new MemoryDisk(), { snapshotBytes: 20_000 });
   await replica.bootstrap();
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -59,6 +59,8 @@
   leaseShare: 0.8,
   memberTimeoutMs: 1800,
 };
+/** Milliseconds for which the listeners wait for the replica to open, as the disk may hang. */
+const OPEN_TIMEOUT_MS = 200;
 /** Delay in milliseconds before a replica whose storage failed is opened again. */
 const REOPEN_DELAY_MS = 400;
 /** Time limit in milliseconds for calls to other control processes and for quorum reads. */
@@ -180,12 +182,16 @@
   async start(): Promise<void> {
     const { settings, logger } = this.options;
     await this.loadStored();
-    await this.linkServer.start();
-    await this.openReplica().catch((error: unknown) => {
+    this.updateLinks();
+    const opened = this.openReplica().catch((error: unknown) => {
       logger.error({ err: error }, 'failed to open the replica storage');
       this.reopen().catch(() => undefined);
     });
-    this.linkPool.retain([...this.seeds]);
+    // After a restart of all, many entry processes subscribe at once, which would delay the replica.
+    await Promise.race([opened, sleep(OPEN_TIMEOUT_MS)]);
+    await this.linkServer.start();
+    // The stored members, without which the first election would reach the seeds only.
+    this.updateLinks();
     await listenAt(this.operatorServer, settings.operators);
     this.runConfigurationPushes().catch((error: unknown) =>
       logger.error({ err: error }, 'configuration push task failed'),
@@ -196,7 +202,7 @@
     logger.info({ self: this.ownAddress, seeds: this.seeds }, 'control process started');
   }
 
-  /** Stops the process. Acknowledged data is on disk already, so there is nothing to flush. */
+  /** Stops the process. Acknowledged data is on disk already. */
   async stop(): Promise<void> {
     this.isStopped = true;
     this.placement.stop();
@@ -204,6 +210,7 @@
     this.operatorServer.close();
     this.operatorServer.closeAllConnections();
     await this.replica?.stop();
+    await this.upstreamFile?.save();
     this.linkServer.stop();
     this.linkPool.stop();
   }
@@ -405,6 +412,10 @@
     }
   }
 
+  private updateLinks(): void {
+    this.linkPool.retain([...this.seeds, ...this.getCluster().members]);
+  }
+
   private getCluster() {
     const members = this.replica?.getMembers().map((member) => member.address) ?? [];
     const leader = this.replica?.getLeaderAddress() ?? null;
@@ -487,7 +498,8 @@
   private async runMaintenance(): Promise<void> {
     while (!this.isStopped) {
       await sleep(MAINTENANCE_INTERVAL_MS);
-      this.linkPool.retain([...this.seeds, ...this.getCluster().members]);
+      if (this.isStopped) return;
+      this.updateLinks();
       this.table.removeExpired();
       this.upstreamFile?.save().catch(() => undefined);
       this.findings.removeExpired((id) => this.table.getUpstream(id) !== undefined);
--- a/packages/gateway/src/links/OutboundLink.ts
+++ b/packages/gateway/src/links/OutboundLink.ts
@@ -15,8 +15,14 @@
 
 /** Time limit in milliseconds for establishing a connection. */
 const CONNECT_TIMEOUT_MS = 700;
-/** Delay in milliseconds before reconnecting after a failed attempt or a closed connection. */
-const RETRY_DELAY_MS = 200;
+/**
+ * Delays in milliseconds before reconnecting. Each attempt doubles the delay until a connection has
+ * lasted: processes that start together reach each other soon, and one that closes every connection
+ * is not flooded.
+ */
+const MIN_RETRY_DELAY_MS = 25;
+const MAX_RETRY_DELAY_MS = 200;
+const LASTING_MS = 1000;
 
 /** An outgoing link that reconnects whenever its connection is closed. */
 export class OutboundLink {
@@ -28,16 +34,20 @@
 
   /** Connects and reconnects until stopped. */
   async run(): Promise<void> {
+    let delayMs = MIN_RETRY_DELAY_MS;
     while (!this.isStopped) {
       const link = await this.connect();
       if (link && !this.isStopped) {
+        const openedAt = performance.now();
         this.link = link;
         this.options.onOpen?.(link);
         await link.closed;
         this.link = undefined;
+        if (performance.now() - openedAt > LASTING_MS) delayMs = MIN_RETRY_DELAY_MS;
       }
       link?.close();
-      await sleep(RETRY_DELAY_MS);
+      await sleep(delayMs);
+      delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
     }
   }
 
--- a/packages/gateway/tests/links/links.test.ts
+++ b/packages/gateway/tests/links/links.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import fc from 'fast-check';
-import { encodeFrame, FrameKind, FrameReader, Link } from '../../src/links/index.js';
+import { encodeFrame, FrameKind, FrameReader, Link, OutboundLink } from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
 
 test('frames are decoded however the byte stream is split into chunks', () => {
@@ -108,3 +108,22 @@
   link.close();
   server.close();
 });
+
+// Guards against a flood of subscriptions to a process that closes each link because of an error.
+test('a link that does not last is opened at most nine times in a second', async () => {
+  let count = 0;
+  const server = createServer((socket) => {
+    count += 1;
+    socket.destroy();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const link = new OutboundLink({ host: '127.0.0.1', port, handlers: new Map() });
+  link.run().catch(() => undefined);
+  await sleep(1000);
+  link.stop();
+  server.close();
+  assert.ok(count >= 1 && count <= 9, `${count} connections`);
+});
