Stop what tests start also when they fail; load modules after the SIGHUP handler

Cause: schedulers.test.ts stopped its links at the end of each test only, and awaited messages for 50 ms. The unbundled program loaded all modules before the handler of SIGHUP, as ES modules are linked before the first one runs. The test of deadly parts says only how many requests were served.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -32,7 +32,7 @@
 };
 
 await build({
-  entryPoints: ['packages/daemon/dist/src/gateway/main.js'],
+  entryPoints: ['packages/daemon/dist/src/gateway/program.js'],
   outfile: join(target, 'gateway', 'program.js'),
   bundle: true,
   platform: 'node',
--- a/packages/fakes/src/harness/GatewayCluster.ts
+++ b/packages/fakes/src/harness/GatewayCluster.ts
@@ -1,4 +1,4 @@
-import { mkdir, rm, writeFile } from 'node:fs/promises';
+import { mkdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { ChildProcess } from './ChildProcess.js';
 import { getFreePorts } from './getFreePorts.js';
@@ -101,6 +101,17 @@
     await Promise.all([...this.controls, ...this.entries].map(({ child }) => child.kill()));
   }
 
+  /** Gets the log lines of the entry processes that contain one of the texts. */
+  async findLogLines(texts: string[]): Promise<string[]> {
+    const { folder } = this.options;
+    const logs = await Promise.all(
+      this.entries.map(({ name }) => readFile(join(folder, `${name}.log`), 'utf8')),
+    );
+    return logs
+      .flatMap((log) => log.split('\n'))
+      .filter((line) => texts.some((text) => line.includes(text)));
+  }
+
   async removeFolder(): Promise<void> {
     await rm(this.options.folder, { recursive: true, force: true });
   }
--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EngineDecision } from '@azurecart/scheduling';
 import { LinkPool } from '../../src/control/LinkPool.js';
@@ -98,10 +99,29 @@
   return new RoutingTable(configuration);
 }
 
-/** Starts a placer with two schedulers, of which the first one is the leader. */
-async function startPlacer() {
-  const schedulers = [await FakeScheduler.start(), await FakeScheduler.start()] as const;
+const WAIT_TIMEOUT_MS = 15_000;
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  const deadline = performance.now() + WAIT_TIMEOUT_MS;
+  while (!condition()) {
+    if (performance.now() > deadline) throw new Error('timed out waiting for a condition');
+    await sleep(5);
+  }
+}
+
+/**
+ * Starts a placer with two schedulers, of which the first one is the leader. They stop after the
+ * test, also if it fails, as their links would keep the test process running.
+ */
+async function startPlacer(context: TestContext) {
+  const start = async (): Promise<FakeScheduler> => {
+    const scheduler = await FakeScheduler.start();
+    context.after(() => scheduler.stop());
+    return scheduler;
+  };
+  const schedulers = [await start(), await start()] as const;
   const linkPool = new LinkPool({ ownAddress: '', handlers: new Map(), onOpen: () => undefined });
+  context.after(() => linkPool.stop());
   const view = new ClusterView({ codec: versionCodec, logger: silentLogger });
   view.routing = createRouting();
   const record = { id: 'e', bornAt: 1, sequence: 1, service: 's', address: 'a:1', capacity: 4 };
@@ -109,7 +129,7 @@
   const members = schedulers.map(({ address }) => address);
   view.updateCluster({ members, leader: members[0] ?? null, term: 1, entries: 1 });
   linkPool.retain(members);
-  while (members.some((address) => !linkPool.getLink(address).current)) await sleep(5);
+  await waitFor(() => members.every((address) => linkPool.getLink(address).current));
   const shortPromptEngines = new ShortPromptEngines(view);
   const selector = new SchedulerSelector({ view, linkPool });
   const statements = createStatements(view);
@@ -136,51 +156,44 @@
     assert.ok(placement.kind === 'placed');
     return placement;
   };
-  const stop = (): void => {
-    linkPool.stop();
-    schedulers.forEach((scheduler) => scheduler.stop());
-  };
-  return { schedulers, placer, place, view, shortPromptEngines, members, stop };
+  return { schedulers, placer, place, view, shortPromptEngines, members };
 }
 
 const NO_RESPONSE = (): Promise<EngineDecision> => new Promise(() => {});
 
-test('the leader places a job and the standby is notified of it', async () => {
-  const { schedulers, placer, place, stop } = await startPlacer();
+test('the leader places a job and the standby is notified of it', async (context) => {
+  const { schedulers, placer, place } = await startPlacer(context);
   const { upstream, jobId, isScheduled } = await place();
   assert.equal(isScheduled, true);
   const handle = placer.track(REQUEST, upstream, jobId);
   handle.reportProgress();
   handle.release('orderly');
-  await sleep(50);
+  await waitFor(() => schedulers.every(({ received }) => received.includes(METHODS.release)));
   assert.deepEqual(schedulers[0].received, [METHODS.place, METHODS.progress, METHODS.release]);
   assert.deepEqual(schedulers[1].received, [METHODS.adopt, METHODS.progress, METHODS.release]);
-  stop();
 });
 
-test('the standby places a job within an eighth of the objective if the leader does not respond', async () => {
-  const { schedulers, place, stop } = await startPlacer();
+test('the standby places a job within an eighth of the objective if the leader does not respond', async (context) => {
+  const { schedulers, place } = await startPlacer(context);
   schedulers[0].respond = NO_RESPONSE;
   const startedAt = performance.now();
   assert.equal((await place()).isScheduled, true);
   assert.ok(performance.now() - startedAt < REQUEST.route.objectiveMs / 8 + 50);
   await place();
   assert.equal(schedulers[0].received.filter((method) => method === METHODS.place).length, 1);
-  stop();
 });
 
-test('an entry process places a job itself if no scheduler responds', async () => {
-  const { schedulers, place, stop } = await startPlacer();
+test('an entry process places a job itself if no scheduler responds', async (context) => {
+  const { schedulers, place } = await startPlacer(context);
   schedulers.forEach((scheduler) => {
     // eslint-disable-next-line no-param-reassign -- The script of a fake.
     scheduler.respond = NO_RESPONSE;
   });
   assert.notEqual((await place()).isScheduled, true);
-  stop();
 });
 
-test('a new leader is notified of all jobs, and a deselected scheduler is told to release them', async () => {
-  const { schedulers, place, view, members, stop } = await startPlacer();
+test('a new leader is notified of all jobs, and a deselected scheduler is told to release them', async (context) => {
+  const { schedulers, place, view, members } = await startPlacer(context);
   await place();
   view.updateCluster({
     members: [members[1] ?? ''],
@@ -189,25 +202,21 @@
     entries: 1,
   });
   await place();
-  await sleep(50);
-  assert.ok(schedulers[0].received.includes(METHODS.release));
+  await waitFor(() => schedulers[0].received.includes(METHODS.release));
   assert.deepEqual(schedulers[1].received, [METHODS.adopt, METHODS.place]);
-  stop();
 });
 
-test('a cluster update without a leader does not replace the known leader', async () => {
-  const { view, members, stop } = await startPlacer();
+test('a cluster update without a leader does not replace the known leader', async (context) => {
+  const { view, members } = await startPlacer(context);
   view.updateCluster({ members, leader: null, term: 1, entries: 3 });
   assert.equal(view.cluster.value.leader, members[0]);
   assert.equal(view.cluster.value.entries, 3);
-  stop();
 });
 
-test('without a scheduler, long prompts avoid engines that serve short ones', async () => {
-  const { shortPromptEngines, stop } = await startPlacer();
+test('without a scheduler, long prompts avoid engines that serve short ones', async (context) => {
+  const { shortPromptEngines } = await startPlacer(context);
   shortPromptEngines.update({ service: 's', engines: ['e1', 'e2'] });
   const long = { ...REQUEST, promptTokens: 100_000 };
   assert.ok(shortPromptEngines.getCost(long, 'e1') > shortPromptEngines.getCost(long, 'e3'));
   assert.ok(shortPromptEngines.getCost(REQUEST, 'e1') < shortPromptEngines.getCost(REQUEST, 'e3'));
-  stop();
 });
