Record the phases of a start; encode notifications to many peers once

Cause: the log has no time from the start of a process to its first answer. A control process encoded each change of an upstream for each of 64 subscribers, also while the entry processes of a whole fleet subscribe after a restart. Change: entry processes log and count when they first listened, had a configuration and answered with success; updates are encoded once for all subscribers.

--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync } from 'node:zlib';
 import type { UpstreamRecord, UpstreamTable } from '@azurecart/discovery';
 import type { Findings, FindingsUpdate } from '../findings/index.js';
+import { encodeNotification } from '../links/index.js';
 import type { Link } from '../links/index.js';
 import type { ConfigurationState } from './ConfigurationState.js';
 import { METHODS } from './messages.js';
@@ -95,7 +96,7 @@
   /** Sends a changed upstream to all subscribers. */
   pushUpstream(record: UpstreamRecord): void {
     const body = { records: [this.toAgedAnnouncement(record)] };
-    this.subscribers.forEach(({ link }) => link.notify(METHODS.upstreams, body));
+    notifyAll(this.subscribers, METHODS.upstreams, body);
   }
 
   /**
@@ -106,9 +107,10 @@
     const body = { records: this.options.table.getRecords().map(this.toAgedAnnouncement) };
     this.refreshCount += 1;
     const includesRemote = this.refreshCount % REMOTE_REFRESH_INTERVAL === 0;
-    this.getEntrySubscribers()
-      .filter((subscriber) => includesRemote || this.isNear(subscriber))
-      .forEach(({ link }) => link.notify(METHODS.upstreams, body));
+    const subscribers = this.getEntrySubscribers().filter(
+      (subscriber) => includesRemote || this.isNear(subscriber),
+    );
+    notifyAll(subscribers, METHODS.upstreams, body);
   }
 
   /** Sends findings to all subscribers but the one that they came from. */
@@ -130,9 +132,8 @@
   /** Sends upstreams that announced themselves to this process to the other control processes. */
   shareUpstreams(records: UpstreamRecord[]): void {
     const body = { records: records.map(this.toAgedAnnouncement) };
-    for (const { kind, link } of this.subscribers) {
-      if (kind === 'control') link.notify(METHODS.upstreams, body);
-    }
+    const subscribers = [...this.subscribers].filter(({ kind }) => kind === 'control');
+    notifyAll(subscribers, METHODS.upstreams, body);
   }
 
   /** Sends the cluster members and the number of entry processes to all subscribers. */
@@ -151,7 +152,7 @@
 
   private pushClusterTo(subscribers: Subscriber[]): void {
     const body: ClusterUpdate = { ...this.options.getCluster(), entries: this.entryCount };
-    subscribers.forEach(({ link }) => link.notify(METHODS.cluster, body));
+    notifyAll(subscribers, METHODS.cluster, body);
   }
 
   private isNear({ dataCentre }: Subscriber): boolean {
@@ -206,3 +207,9 @@
 function recordVersion(subscriber: Subscriber, version: number): void {
   if (version > subscriber.version) Object.assign(subscriber, { version, behindSince: undefined });
 }
+
+/** Sends a notification to many subscribers; encoding it for each would delay the others. */
+function notifyAll(subscribers: Iterable<Subscriber>, method: string, body: unknown): void {
+  const bytes = encodeNotification(method, body);
+  for (const { link } of subscribers) link.sendEncoded(bytes);
+}
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -25,6 +25,11 @@
 
   routing: RoutingTable | undefined;
 
+  private readonly activationSubject = new Subject<number>();
+
+  /** Emits the version of each configuration that is activated. */
+  readonly activations = this.activationSubject.asObservable();
+
   private readonly departureSubject = new Subject<UpstreamRecord>();
 
   /** Departures that this process learned from upstreams, which are to be told to others. */
@@ -54,6 +59,7 @@
     const document = inflateRawSync(update.deflated);
     this.routing = new RoutingTable(this.options.codec.decode(document));
     this.options.logger.info({ version: this.version }, 'configuration activated');
+    this.activationSubject.next(this.version);
   }
 
   /**
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -20,6 +20,7 @@
 import { ScheduledPlacer } from './ScheduledPlacer.js';
 import { SchedulerSelector } from './SchedulerSelector.js';
 import { StartupGate } from './StartupGate.js';
+import { StartupTimes } from './StartupTimes.js';
 import { RetryBudgetShare } from './RetryBudgetShare.js';
 import { UpstreamHealth } from './UpstreamHealth.js';
 import { UpstreamStatements } from './UpstreamStatements.js';
@@ -58,6 +59,8 @@
 
   private readonly registry = new Registry();
 
+  private readonly startupTimes: StartupTimes;
+
   private readonly clientServer: Server;
 
   private readonly monitoringServer: Server;
@@ -81,8 +84,10 @@
     const memoryBytes = settings.memoryMb * BYTES_PER_MB;
     this.requestMemory = new MemoryBudget({ maxBytes: memoryBytes * REQUEST_MEMORY_SHARE });
     this.responseMemory = new MemoryBudget({ maxBytes: memoryBytes * RESPONSE_MEMORY_SHARE });
+    this.startupTimes = new StartupTimes({ registry: this.registry, logger });
     this.lifetime = new ProcessLifetime({ graceMs: settings.graceSeconds * MS_PER_SECOND });
     this.view = new ClusterView({ codec, logger });
+    this.view.activations.subscribe(() => this.startupTimes.record('configuration'));
     this.statements = new UpstreamStatements({ view: this.view, logger });
     this.controlLinks = new ControlLinks({ settings, view: this.view, logger });
     this.requestHandler = new RequestHandler({
@@ -122,6 +127,7 @@
     const { settings, logger } = this.options;
     this.controlLinks.start();
     await listenAt(this.clientServer, settings.front);
+    this.startupTimes.record('listening');
     await listenAt(this.monitoringServer, settings.readiness);
     setInterval(() => this.expireUpstreams(), EXPIRY_INTERVAL_MS).unref();
     logger.info({ front: settings.front, seeds: settings.seeds }, 'entry started');
@@ -214,6 +220,8 @@
     const routing =
       view.routing ?? (await startupGate.wait(() => view.routing, exchange.disconnectSignal));
     await this.requestHandler.run(exchange, routing);
+    const { headersSent, statusCode } = exchange.response;
+    if (headersSent && statusCode === 200) this.startupTimes.record('firstAnswer');
   }
 
   private handleMonitoringRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/links/Link.ts
+++ b/packages/gateway/src/links/Link.ts
@@ -135,6 +135,13 @@
     if (!this.isClosed) this.send([FrameKind.Notification, 0, method, body]);
   }
 
+  /** Sends a frame that {@link encodeNotification} has encoded; does nothing when closed. */
+  sendEncoded(bytes: Uint8Array): void {
+    if (this.isClosed) return;
+    this.lastSentAt = performance.now();
+    this.options.socket.write(bytes);
+  }
+
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
@@ -205,3 +212,8 @@
     return call;
   }
 }
+
+/** Encodes a notification, which can then be sent to many peers. */
+export function encodeNotification(method: string, body: unknown): Uint8Array {
+  return encodeFrame([FrameKind.Notification, 0, method, body], { compresses: false });
+}
--- a/packages/gateway/tests/links/links.test.ts
+++ b/packages/gateway/tests/links/links.test.ts
@@ -4,7 +4,14 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import fc from 'fast-check';
-import { encodeFrame, FrameKind, FrameReader, Link, OutboundLink } from '../../src/links/index.js';
+import {
+  encodeFrame,
+  encodeNotification,
+  FrameKind,
+  FrameReader,
+  Link,
+  OutboundLink,
+} from '../../src/links/index.js';
 import type { CallHandler } from '../../src/links/index.js';
 
 test('frames are decoded however the byte stream is split into chunks', () => {
@@ -127,3 +134,25 @@
   server.close();
   assert.ok(count >= 1 && count <= 9, `${count} connections`);
 });
+
+test('an encoded notification reaches each link that it is sent over', async () => {
+  const received: unknown[] = [];
+  const bytes = encodeNotification('m', { value: 7 });
+  for (let index = 0; index < 2; index += 1) {
+    const { link, peerSocket, server } = await connectPair(new Map());
+    const peer = new Link({ socket: peerSocket, handlers: new Map() });
+    const arrived = new Promise((resolve) => {
+      peer.subscribe(({ method, body }) => resolve([method, body]));
+    });
+    link.sendEncoded(bytes);
+    received.push(await arrived);
+    link.close();
+    link.sendEncoded(bytes);
+    peer.close();
+    server.close();
+  }
+  assert.deepEqual(received, [
+    ['m', { value: 7 }],
+    ['m', { value: 7 }],
+  ]);
+});
