--- a/packages/discovery/tests/UpstreamTable.test.ts
+++ b/packages/discovery/tests/UpstreamTable.test.ts
@@ -242,3 +242,30 @@
   assert.ok(table.getColdMs('a') > 0);
   assert.equal(table.getColdMs('b'), 0);
 });
+
+test('an upstream that was silent for long and announces itself has changed', () => {
+  let now = 0;
+  const table = new UpstreamTable({ now: () => now, silenceTimeoutMs: 1000 });
+  table.merge(createAnnouncement());
+  now = 400;
+  assert.equal(table.merge(createAnnouncement({ sequence: 2 })), 'refreshed');
+  now = 1000;
+  assert.equal(table.merge(createAnnouncement({ sequence: 3 })), 'changed');
+});
+
+test('a remembered upstream is removed unless it announces itself', () => {
+  let now = 0;
+  const table = new UpstreamTable({ now: () => now, silenceTimeoutMs: 10_000 });
+  table.remember(createAnnouncement(), 3000);
+  table.remember(createAnnouncement({ id: 'b', address: '10.0.0.2:80' }), 3000);
+  now = 2000;
+  assert.equal(table.merge(createAnnouncement({ sequence: 2, coldMs: 0 })), 'changed');
+  assert.equal(table.getColdMs('a'), 0);
+  assert.ok(table.getColdMs('b') > 0);
+  now = 3001;
+  table.removeExpired();
+  assert.deepEqual(
+    table.getReady('s').map(({ id }) => id),
+    ['a'],
+  );
+});
--- a/packages/gateway/src/control/UpdatePublisher.ts
+++ b/packages/gateway/src/control/UpdatePublisher.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync } from 'node:zlib';
 import type { UpstreamRecord, UpstreamTable } from '@azurecart/discovery';
 import type { Findings, FindingsUpdate } from '../findings/index.js';
+import { encodeNotification } from '../links/index.js';
 import type { Link } from '../links/index.js';
 import type { ConfigurationState } from './ConfigurationState.js';
 import { METHODS } from './messages.js';
@@ -20,6 +21,8 @@
   /** Returns false while the local configuration may be older than an acknowledged one. */
   isRecent: () => boolean;
   getCluster: () => Omit<ClusterUpdate, 'entries'>;
+  /** Returns true for an upstream of which only the disk tells. */
+  isUnconfirmed: (record: UpstreamRecord) => boolean;
   dataCentre: string;
 }
 
@@ -78,7 +81,7 @@
       this.pushClusterSoon();
     });
     link.notify(METHODS.upstreams, {
-      records: this.options.table.getRecords().map(this.toAgedAnnouncement),
+      records: this.getRecordsFor(subscriber).map(this.toAgedAnnouncement),
     });
     // Before the configuration, without which an entry process serves no requests.
     link.notify(METHODS.findings, this.options.findings.getAll());
@@ -103,7 +106,7 @@
   /** Sends a changed upstream to all subscribers. */
   pushUpstream(record: UpstreamRecord): void {
     const body = { records: [this.toAgedAnnouncement(record)] };
-    this.subscribers.forEach(({ link }) => link.notify(METHODS.upstreams, body));
+    notifyAll(this.subscribers, METHODS.upstreams, body);
   }
 
   /**
@@ -114,9 +117,10 @@
     const body = { records: this.options.table.getRecords().map(this.toAgedAnnouncement) };
     this.refreshCount += 1;
     const includesRemote = this.refreshCount % REMOTE_REFRESH_INTERVAL === 0;
-    this.getEntrySubscribers()
-      .filter((subscriber) => includesRemote || this.isNear(subscriber))
-      .forEach(({ link }) => link.notify(METHODS.upstreams, body));
+    const subscribers = this.getEntrySubscribers().filter(
+      (subscriber) => includesRemote || this.isNear(subscriber),
+    );
+    notifyAll(subscribers, METHODS.upstreams, body);
   }
 
   /** Sends findings to all subscribers but the one that they came from. */
@@ -138,9 +142,8 @@
   /** Sends upstreams that announced themselves to this process to the other control processes. */
   shareUpstreams(records: UpstreamRecord[]): void {
     const body = { records: records.map(this.toAgedAnnouncement) };
-    for (const { kind, link } of this.subscribers) {
-      if (kind === 'control') link.notify(METHODS.upstreams, body);
-    }
+    const subscribers = [...this.subscribers].filter(({ kind }) => kind === 'control');
+    notifyAll(subscribers, METHODS.upstreams, body);
   }
 
   /** Sends the cluster members and the number of entry processes to all subscribers. */
@@ -159,7 +162,7 @@
 
   private pushClusterTo(subscribers: Subscriber[]): void {
     const body: ClusterUpdate = { ...this.options.getCluster(), entries: this.entryCount };
-    subscribers.forEach(({ link }) => link.notify(METHODS.cluster, body));
+    notifyAll(subscribers, METHODS.cluster, body);
   }
 
   private isNear({ dataCentre }: Subscriber): boolean {
@@ -176,6 +179,13 @@
     return now - behindSince < REMOTE_DELAY_MS;
   }
 
+  /** Gets all upstreams. Only an entry process that has just started gets unconfirmed ones. */
+  private getRecordsFor({ kind, version }: Subscription): UpstreamRecord[] {
+    const records = this.options.table.getRecords();
+    if (kind === 'entry' && version === 0) return records;
+    return records.filter((record) => !this.options.isUnconfirmed(record));
+  }
+
   private readonly toAgedAnnouncement = (record: UpstreamRecord): AgedAnnouncement => {
     const { lastSeenAt, ...announcement } = record;
     return { ...announcement, ageMs: Math.max(0, this.options.now() - lastSeenAt) };
@@ -215,3 +225,9 @@
 function recordVersion(subscriber: Subscriber, version: number): void {
   if (version > subscriber.version) Object.assign(subscriber, { version, behindSince: undefined });
 }
+
+/** Sends a notification to many subscribers; encoding it for each would delay the others. */
+function notifyAll(subscribers: Iterable<Subscriber>, method: string, body: unknown): void {
+  const bytes = encodeNotification(method, body);
+  for (const { link } of subscribers) link.sendEncoded(bytes);
+}
--- a/packages/gateway/src/entry/ClusterView.ts
+++ b/packages/gateway/src/entry/ClusterView.ts
@@ -32,6 +32,11 @@
   /** The evacuated data centres; undefined until a control process has named them. */
   evacuation: EvacuationUpdate | undefined;
 
+  private readonly activationSubject = new Subject<number>();
+
+  /** Emits the version of each configuration that is activated. */
+  readonly activations = this.activationSubject.asObservable();
+
   private readonly departureSubject = new Subject<UpstreamRecord>();
 
   /** Departures that this process learned from upstreams, which are to be told to others. */
@@ -67,6 +72,7 @@
     const document = inflateRawSync(update.deflated);
     this.routing = new RoutingTable(this.options.codec.decode(document));
     this.options.logger.info({ version: this.version }, 'configuration activated');
+    this.activationSubject.next(this.version);
   }
 
   /** Heeds the evacuated data centres unless an update of the same or a higher revision came first. */
