Show what clients beyond the limits do to the processes

Cause: clients that send many requests ahead and read no answers ended an entry process; nothing bounds connections, heads or requests ahead.

--- a/packages/fakes/src/harness/ChildProcess.ts
+++ b/packages/fakes/src/harness/ChildProcess.ts
@@ -7,6 +7,8 @@
   name: string;
   script: string;
   arguments: string[];
+  /** Options of Node.js, such as its heap limit. */
+  nodeArguments?: string[];
   logFile: string;
 }
 
@@ -43,10 +45,12 @@
 
   start(): void {
     const log = createWriteStream(this.options.logFile, { flags: 'a' });
-    const { script, arguments: scriptArguments } = this.options;
-    const child = spawn(process.execPath, [...process.execArgv, script, ...scriptArguments], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const { script, arguments: scriptArguments, nodeArguments = [] } = this.options;
+    const child = spawn(
+      process.execPath,
+      [...process.execArgv, ...nodeArguments, script, ...scriptArguments],
+      { stdio: ['ignore', 'pipe', 'pipe'] },
+    );
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this.child = child;
--- a/packages/fakes/src/harness/Fleet.ts
+++ b/packages/fakes/src/harness/Fleet.ts
@@ -27,6 +27,8 @@
   entrySettings?: Record<string, unknown>;
   /** Additional settings of every control process. */
   controlSettings?: Record<string, unknown>;
+  /** Options of Node.js for every process, such as its heap limit. */
+  nodeArguments?: string[];
 }
 
 /** A control or entry process with its addresses. */
@@ -248,6 +250,7 @@
       name: vm,
       script: fileURLToPath(new URL('../../../../daemon/dist/src/main.js', import.meta.url)),
       arguments: ['--settings', file],
+      nodeArguments: this.options.nodeArguments,
       logFile: this.getPath(`${vm}.log`),
     });
     const url = `http://127.0.0.1:${port}`;
--- a/packages/fakes/tests/startGateway.ts
+++ b/packages/fakes/tests/startGateway.ts
@@ -21,6 +21,10 @@
   eventCount?: number;
   /** Seconds between SIGTERM and the expected end of the entry process. */
   graceSeconds?: number;
+  /** Options of Node.js for both processes, such as its heap limit. */
+  nodeArguments?: string[];
+  /** Additional settings of both processes. */
+  settings?: Record<string, unknown>;
 }
 
 /** Running gateway processes and fake runners. */
@@ -30,6 +34,10 @@
   runners: FakeRunner[];
   /** Address of the control process for operators. */
   operatorAddress: string;
+  /** Address of the entry process for clients. */
+  frontAddress: string;
+  /** Address of the entry process for health checks and metrics. */
+  readinessAddress: string;
   /** Sends a prompt to the entry process, on a connection of its own unless an agent is given. */
   send(promptTokens: number, agent?: Agent): Promise<PromptResponse>;
   stop(): Promise<void>;
@@ -105,7 +113,7 @@
 export async function startGateway(
   name: string,
   runnerCount: number,
-  { eventCount, graceSeconds = 5 }: TestGatewayOptions = {},
+  { eventCount, graceSeconds = 5, nodeArguments, settings }: TestGatewayOptions = {},
 ): Promise<TestGateway> {
   const folder = join(process.cwd(), '.data', `test-${name}-${process.pid}`);
   await mkdir(folder, { recursive: true });
@@ -115,11 +123,15 @@
   const commonSettings = { dataCentre: 'd', linkPort, seeds: [operatorAddress] };
   const startProcess = async (role: string, fields: object): Promise<ChildProcess> => {
     const file = join(folder, `${role}.json`);
-    await writeFile(file, JSON.stringify({ role, vm: role, ...commonSettings, ...fields }));
+    await writeFile(
+      file,
+      JSON.stringify({ role, vm: role, ...commonSettings, ...fields, ...settings }),
+    );
     const child = new ChildProcess({
       name: role,
       script: SCRIPT,
       arguments: ['--settings', file],
+      nodeArguments,
       logFile: join(folder, `${role}.log`),
     });
     child.start();
@@ -168,7 +180,16 @@
   };
   const send = (tokens: number, agent?: Agent) => sendPrompt(frontAddress, tokens, agent);
   await waitFor(async () => (await send(10)).status === 200);
-  return { control, entry, runners, operatorAddress, send, stop };
+  return {
+    control,
+    entry,
+    runners,
+    operatorAddress,
+    frontAddress,
+    readinessAddress,
+    send,
+    stop,
+  };
 }
 
 async function isResponseOk(url: string, init?: RequestInit): Promise<boolean> {
