Keep clients that nobody controls within limits

Cause: the HTTP servers had no bound on requests sent ahead, connections, heads and idle time. The parser handles all that one read delivers (2,500 small heads), each request waits as objects, and the connections that send ahead keep all others from being read.

Change: packages/ingress, in front of all HTTP servers of both products. A gate passes bytes on head by head and holds the rest back while requests of the connection wait; held connections take turns. A table decides which connections are accepted, read and closed: limits on connections, descriptors, addresses, connections without a request, heads, idle time, readers that take nothing, and the rest of refused requests. Bodies at the operators' address share a part of the memory. Refused requests are logged up to 50 a second, then as counts. Settings maxDescriptors and readerTimeoutMs with defaults; memoryMb for control processes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,6 +62,11 @@
     ['@azurecart/*', 'node:*'],
     'Discovery must not import other packages or Node.js modules: it only holds soft state.',
   ),
+  forbid(
+    ['packages/ingress/src/**'],
+    ['@azurecart/*'],
+    'The ingress must not import other packages: it can protect any HTTP server.',
+  ),
   forbid(
     ['packages/gateway/src/**'],
     ['@azurecart/platform', ...product],
--- a/packages/daemon/src/control/ControlProcess.ts
+++ b/packages/daemon/src/control/ControlProcess.ts
@@ -4,7 +4,14 @@
 import type { ReplicaEvent } from '@azurecart/consensus';
 import { createLogger, HybridClock, Invariants, Timeline } from '@azurecart/telemetry';
 import type { Logger } from '@azurecart/telemetry';
-import { AdminRoutes, closeServer, createHttpServer, listen, sendJson } from '../http/index.js';
+import {
+  AdminRoutes,
+  closeServer,
+  createHttpServer,
+  createIngress,
+  listen,
+  sendJson,
+} from '../http/index.js';
 import { RpcClients, RpcInterceptors, RpcServer } from '../rpc/index.js';
 import { Secret } from '../secrets/index.js';
 import type { ControlSettings } from '../settings/index.js';
@@ -161,7 +168,8 @@
       operatorSecret,
       getNotReadyReason: () => (replica.getLeaderAddress() ? undefined : 'no leader known'),
     });
-    return createHttpServer(this.settings.admin, {}, (request, response) => {
+    const ingress = createIngress({ name: 'admin', logger: this.logger });
+    return createHttpServer(this.settings.admin, {}, ingress, (request, response) => {
       if (!routes.handle(request, response)) {
         sendJson(response, 404, { error: { message: 'no such path' } });
       }
--- a/packages/daemon/src/entry/EntryProcess.ts
+++ b/packages/daemon/src/entry/EntryProcess.ts
@@ -250,6 +250,16 @@
       'Requests in progress',
       () => clientServer.openRequests,
     );
+    metrics.addGauge(
+      'azurecart_client_connections',
+      'Open connections of clients',
+      () => clientServer.connections.connectionCount,
+    );
+    metrics.addGauge(
+      'azurecart_client_connections_held',
+      'Connections of clients that are not read for a while',
+      () => clientServer.connections.heldCount,
+    );
     metrics.addGauge('azurecart_owned_shards', 'Shards owned', () => owners.getAll().length);
     metrics.addGauge(
       'azurecart_ready_engines',
--- a/packages/daemon/src/entry/clients/ClientServer.ts
+++ b/packages/daemon/src/entry/clients/ClientServer.ts
@@ -1,7 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { ConnectionTable, Ingress } from '@azurecart/ingress';
 import type { Logger } from '@azurecart/telemetry';
 import type { AdminRoutes } from '../../http/index.js';
-import { closeServer, createHttpServer, listen, sendJson } from '../../http/index.js';
+import {
+  closeServer,
+  createHttpServer,
+  createIngress,
+  listen,
+  sendJson,
+} from '../../http/index.js';
 import type { EntrySettings } from '../../settings/index.js';
 import type { EntryMetrics } from '../metrics/index.js';
 import type { ConfigurationLease, View } from '../view/index.js';
@@ -31,18 +38,30 @@
 const MAX_HEADER_COUNT = 100;
 /** Granularity of the header and body timeouts: connections are checked at this interval. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Bytes as received of a refused request, for each byte that a body may have; includes framing. */
+const DRAIN_FACTOR = 2;
 const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'];
 
 /** HTTP server for clients and upstreams. */
 export class ClientServer {
   private readonly server: Server;
 
+  private readonly ingress: Ingress;
+
   private openCount = 0;
 
   private isStopping = false;
 
   constructor(private readonly options: ClientServerOptions) {
     const { limits, listen: listener } = options.settings;
+    this.ingress = createIngress({
+      name: 'clients',
+      logger: options.logger,
+      maxConnections: limits.connections,
+      maxDescriptors: limits.descriptors,
+      readerTimeoutMs: limits.readerTimeoutMs,
+      maxDrainBytes: DRAIN_FACTOR * limits.bodyBytes,
+    });
     this.server = createHttpServer(
       listener,
       {
@@ -52,6 +71,7 @@
         keepAliveTimeout: KEEP_ALIVE_MS,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       },
+      this.ingress,
       (request, response) => {
         this.handleRequest(request, response).catch(() => response.destroy());
       },
@@ -64,6 +84,11 @@
     return this.openCount;
   }
 
+  /** Gets the state of the connections of clients. */
+  get connections(): ConnectionTable {
+    return this.ingress.table;
+  }
+
   async start(): Promise<void> {
     await listen(this.server, this.options.settings.listen);
   }
--- a/packages/daemon/src/rpc/RpcServer.ts
+++ b/packages/daemon/src/rpc/RpcServer.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
-import { closeServer, createHttpServer, listen } from '../http/index.js';
+import { closeServer, createHttpServer, createIngress, listen } from '../http/index.js';
 import type { Listener } from '../settings/index.js';
 import type { RpcInterceptors } from './RpcInterceptors.js';
 
@@ -29,7 +29,12 @@
       interceptors: [interceptors.serverInterceptor],
       readMaxBytes: MAX_MESSAGE_BYTES,
     });
-    this.server = createHttpServer(listener, { keepAliveTimeout: 0, requestTimeout: 0 }, handler);
+    this.server = createHttpServer(
+      listener,
+      { keepAliveTimeout: 0, requestTimeout: 0 },
+      createIngress({ name: 'rpc', maxDrainBytes: MAX_MESSAGE_BYTES }),
+      handler,
+    );
   }
 
   async start(): Promise<void> {
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -48,6 +48,15 @@
   headerBytes: bytes.default(16 * 1024).describe('Longest request header in bytes'),
   bodyTimeoutMs: milliseconds.default(20_000).describe('Longest time for a body to arrive'),
   headerTimeoutMs: milliseconds.default(5_000).describe('Longest time for a header to arrive'),
+  connections: z.int().min(1).default(2048).describe('Open connections of clients'),
+  descriptors: z
+    .int()
+    .min(1)
+    .default(4096)
+    .describe('Connections of clients, with one more for each that has a request in progress'),
+  readerTimeoutMs: milliseconds
+    .default(60_000)
+    .describe('Longest time for which a client may take nothing of an answer'),
   inlineBytes: bytes.default(32 * 1024).describe('Longest body parsed on the event loop, in bytes'),
   silenceMs: milliseconds
     .default(5_000)
--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -17,11 +17,13 @@
 } from '@azurecart/consensus';
 import type { Announcement } from '@azurecart/discovery';
 import { UpstreamTable } from '@azurecart/discovery';
+import { MemoryBudget } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import { checkConfiguration, InvalidConfigurationError } from '../configuration/index.js';
 import type { ConfigurationCodec } from '../configuration/index.js';
 import { Findings, FindingsFile } from '../findings/index.js';
 import type { FindingsUpdate } from '../findings/index.js';
+import { createIngress } from '../ingress/index.js';
 import { LinkServer, listenAt } from '../links/index.js';
 import type { CallHandler, Link } from '../links/index.js';
 import { getSeedLinkAddresses } from '../settings/index.js';
@@ -71,6 +73,12 @@
 const REFRESH_INTERVAL_MS = 10_000;
 /** Maximum interval in milliseconds between checks for entry processes without the configuration. */
 const PUSH_INTERVAL_MS = 60;
+const BYTES_PER_MB = 1024 * 1024;
+/** Share of the memory of the process for bodies of requests of operators and upstreams. */
+const BODY_MEMORY_SHARE = 0.125;
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Share of the memory for one body; reading a document takes several times its size. */
+const MAX_BODY_SHARE = 1 / 32;
 /** Number of applied entries between snapshots. */
 const SNAPSHOT_ENTRIES = 200;
 /**
@@ -166,7 +174,15 @@
         this.receiveFindings(link);
       },
     });
-    this.operatorServer = createControlServer({ protocol, control: this, logger });
+    const memoryBytes = settings.memoryMb * BYTES_PER_MB;
+    this.operatorServer = createControlServer({
+      protocol,
+      control: this,
+      ingress: createIngress({ name: 'operators', settings, logger, limits: { maxAhead: 1 } }),
+      bodyMemory: new MemoryBudget({ maxBytes: memoryBytes * BODY_MEMORY_SHARE }),
+      maxBodyBytes: Math.min(MAX_BODY_BYTES, memoryBytes * MAX_BODY_SHARE),
+      logger,
+    });
     this.addHandlers();
   }
 
--- a/packages/gateway/src/entry/EntryNode.ts
+++ b/packages/gateway/src/entry/EntryNode.ts
@@ -2,9 +2,16 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
+import type { Ingress } from '@azurecart/ingress';
 import { MemoryBudget } from '@azurecart/scheduling';
 import type { Logger } from '@azurecart/telemetry';
 import type { ConfigurationCodec } from '../configuration/index.js';
+import {
+  addIngressMetrics,
+  createIngress,
+  createMonitoringIngress,
+  getClientLimits,
+} from '../ingress/index.js';
 import { listenAt } from '../links/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import { UpstreamAgent } from '../upstreams/index.js';
@@ -58,6 +65,10 @@
 
   private readonly registry = new Registry();
 
+  private readonly agent = new UpstreamAgent();
+
+  private readonly clientIngress: Ingress;
+
   private readonly clientServer: Server;
 
   private readonly monitoringServer: Server;
@@ -91,7 +102,7 @@
       findings: this.view.findings,
       statements: this.statements,
       placer: this.createPlacer(),
-      agent: new UpstreamAgent(),
+      agent: this.agent,
       metrics: new EntryMetrics({
         registry: this.registry,
         view: this.view,
@@ -105,16 +116,31 @@
       responseMemory: this.responseMemory,
       logger,
     });
-    this.clientServer = createServer((request, response) => this.accept(request, response));
+    this.clientIngress = createIngress({
+      name: 'front',
+      settings,
+      logger,
+      limits: {
+        ...getClientLimits(() => this.view.routing?.configuration.limits),
+        getServingDescriptors: () => this.agent.connectionCount,
+      },
+    });
+    this.clientServer = createServer(this.clientIngress.serverOptions, (request, response) =>
+      this.accept(request, response),
+    );
+    this.clientIngress.protect(this.clientServer);
     // No time limit for a whole request or for idle connections, which are closed by the peer, or
     // here at shutdown. Node's default limit for receiving the headers (60 s) still applies.
     this.clientServer.requestTimeout = 0;
     this.clientServer.keepAliveTimeout = 0;
     // Node.js ignores headers beyond a number silently; its limit on their size still applies.
     this.clientServer.maxHeadersCount = 0;
-    this.monitoringServer = createServer((request, response) =>
+    const monitoringIngress = createMonitoringIngress({ name: 'readiness', settings, logger });
+    this.monitoringServer = createServer(monitoringIngress.serverOptions, (request, response) =>
       this.handleMonitoringRequest(request, response),
     );
+    monitoringIngress.protect(this.monitoringServer);
+    addIngressMetrics(this.registry, { front: this.clientIngress, readiness: monitoringIngress });
   }
 
   /** Starts the listeners and the links to control processes. */
@@ -197,7 +223,11 @@
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
-    const exchange = new Exchange(request, response, () => this.lifetime.isShuttingDown);
+    const exchange = new Exchange(
+      request,
+      response,
+      () => this.lifetime.isShuttingDown || this.clientIngress.isClosing(request.socket),
+    );
     this.openExchanges.add(exchange);
     const remove = (): boolean => this.openExchanges.delete(exchange);
     response.once('close', remove);
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -15,6 +15,7 @@
 import type { EntryMetrics } from './EntryMetrics.js';
 import type { Exchange } from './Exchange.js';
 import type { ProcessLifetime, RequestDuration } from './ProcessLifetime.js';
+import { RefusalLog } from './RefusalLog.js';
 import { RequestContext } from './RequestContext.js';
 import { getAttemptTimeouts } from './AttemptTimeouts.js';
 import { LivenessMonitor, EngineCommandClient } from './memory/index.js';
@@ -92,11 +93,14 @@
 
   private readonly crashDetector = new CrashDetector();
 
+  private readonly refusalLog: RefusalLog;
+
   private readonly openContexts = new Set<RequestContext>();
 
   constructor(private readonly options: RequestHandlerOptions) {
     const { protocol, placer, agent, statements, logger } = options;
     this.commandClient = new EngineCommandClient({ protocol, agent, statements, logger });
+    this.refusalLog = new RefusalLog({ logger });
     const { commandClient } = this;
     this.preparer = new AttemptPreparer({ placer, statements, commandClient, logger });
   }
@@ -213,10 +217,7 @@
     exchange.request.resume();
     exchange.sendError(status, reason, retryAfterMs);
     this.options.metrics.recordRequest('none', String(status), exchange.elapsedMs);
-    this.options.logger.info(
-      { request: metadata.clientAttemptId, status, reason },
-      'request refused',
-    );
+    this.refusalLog.record({ request: metadata.clientAttemptId, status, reason });
   }
 
   private async runAttempts(context: RequestContext): Promise<AttemptOutcome> {
--- /dev/null
+++ b/packages/gateway/src/ingress/index.ts
@@ -0,0 +1,3 @@
+/** Limits on the clients of the servers of a process. */
+export * from './addIngressMetrics.js';
+export * from './createIngress.js';
--- a/packages/gateway/src/settings/GatewaySettings.ts
+++ b/packages/gateway/src/settings/GatewaySettings.ts
@@ -9,6 +9,18 @@
   linkPort: z.number().int().describe('port for links between processes'),
   seeds: z.array(addressSchema).describe('operator addresses of some control VMs'),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+  maxDescriptors: z
+    .number()
+    .int()
+    .min(1)
+    .default(4096)
+    .describe('descriptors that the process may open, an eighth of them for files and links'),
+  readerTimeoutMs: z
+    .number()
+    .int()
+    .min(1)
+    .default(60_000)
+    .describe('milliseconds for which a client may take nothing of an answer'),
 });
 
 /** Settings of an entry process. */
@@ -33,6 +45,7 @@
   operators: addressSchema.describe('address for operators and upstreams'),
   dataFolder: z.string().describe('directory for durable state'),
   isFirstStart: z.boolean().describe('true only when the whole system starts for the first time'),
+  memoryMb: z.number().default(250).describe('memory limit of the process in MB'),
   toleratedLosses: z.number().int().describe('control VMs that may be lost at the same time'),
 });
 
--- a/packages/gateway/src/upstreams/UpstreamAgent.ts
+++ b/packages/gateway/src/upstreams/UpstreamAgent.ts
@@ -13,6 +13,13 @@
  * destroyed instead of being reused.
  */
 export class UpstreamAgent extends Agent {
+  private openCount = 0;
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.openCount;
+  }
+
   constructor() {
     super({
       keepAlive: true,
@@ -22,6 +29,16 @@
     });
   }
 
+  override createConnection(...parameters: unknown[]): Socket {
+    // @ts-expect-error -- As above.
+    const socket = super.createConnection(...parameters) as Socket;
+    this.openCount += 1;
+    socket.once('close', () => {
+      this.openCount -= 1;
+    });
+    return socket;
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     // @ts-expect-error -- The type definitions lack this documented method of the agent.
     const isKept = super.keepSocketAlive(socket) as boolean;
