Test sockets that the server pauses beside the ingress

Cause: Node.js pauses a socket and its parser for answers that wait; bytes passed on meanwhile are a parse error, which closes the connection. No test reached that case.

Change: two tests, one with requests split at odd places and a reader that pauses, one with large answers to requests sent ahead.

--- a/packages/ingress/tests/Ingress.test.ts
+++ b/packages/ingress/tests/Ingress.test.ts
@@ -120,6 +120,66 @@
   });
 });
 
+// Covers sockets that the server itself pauses, for bodies and for responses that wait.
+test('a reader that pauses now and then gets all answers, however requests are split', () => {
+  const listener: RequestListener = (request, response) => {
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+    });
+    request.on('end', () => {
+      const answer = `${request.url} ${size};`;
+      const send = (): unknown => response.end(answer.padEnd(size % 7 === 0 ? 2_000_000 : 20, '.'));
+      if (size % 3 === 0) setTimeout(send, 1);
+      else send();
+    });
+  };
+  return withServer(listener, { maxAhead: 2, maxAheadTotal: 20 }, async ({ open }) => {
+    const sizes = Array.from({ length: 60 }, (_, index) => (index * 7919) % 40_000);
+    const text = sizes
+      .map((size, index) => {
+        const head = `POST /${index} HTTP/1.1\r\nHost: a\r\nContent-Length: ${size}\r\n\r\n`;
+        return head + '\r\n\r\n'.repeat(size / 4) + '.'.repeat(size % 4);
+      })
+      .join('');
+    const clients = [open(), open(), open()];
+    clients.forEach(({ socket }, client) => {
+      const step = [777, 30_011, text.length][client] ?? 0;
+      for (let start = 0; start < text.length; start += step)
+        socket.write(text.slice(start, start + step));
+      socket.on('data', () => {
+        socket.pause();
+        setTimeout(() => socket.resume(), 1);
+      });
+    });
+    await waitFor(() => clients.every((client) => countAnswers(client) === sizes.length));
+    const expected = sizes.map((size, index) => `/${index} ${size};`);
+    clients.forEach((client) => assert.deepEqual(client.text.match(/\/\d+ \d+;/g), expected));
+  });
+});
+
+test('a connection that the server pauses for its answers goes on', () => {
+  const listener: RequestListener = (request, response) => {
+    response.end((request.url ?? '').padEnd(300_000, '.'));
+  };
+  return withServer(listener, { maxAhead: 8 }, async ({ open }) => {
+    const paths = Array.from({ length: 100 }, (_, index) => `/${index}`);
+    const client = open();
+    const { socket } = client;
+    socket.write(
+      paths
+        .map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(200)}\r\n\r\n`)
+        .join(''),
+    );
+    socket.on('data', () => {
+      socket.pause();
+      setTimeout(() => socket.resume(), 1);
+    });
+    await waitFor(() => countAnswers(client) === paths.length);
+    assert.deepEqual(client.text.match(/\/\d+(?=\.\.)/g), paths);
+  });
+});
+
 test('a client that reads no answers is read no further', () => {
   let count = 0;
   const listener: RequestListener = (_request, response) => {
