--- a/packages/gateway/tests/entry/schedulers.test.ts
+++ b/packages/gateway/tests/entry/schedulers.test.ts
@@ -222,20 +222,18 @@
 });
 
 // Guards against a scheduler that does not know of an evacuation yet.
-test('a decision for an upstream in an evacuated data centre is not used', async () => {
-  const { schedulers, placer, view, stop } = await startPlacer();
+test('a decision for an upstream in an evacuated data centre is not used', async (context) => {
+  const { schedulers, placer, view } = await startPlacer(context);
   const other = { id: 'f', bornAt: 1, sequence: 1, service: 's', address: 'b:1', capacity: 4 };
   view.upstreamTable.merge({ ...other, dataCentre: 'x', state: 'ready' });
   view.updateEvacuations({ revision: 1, dataCentres: ['d'] });
   const placement = await placer.place(REQUEST, new AbortController().signal);
   assert.equal(placement.kind === 'placed' && placement.upstream.id, 'f');
-  await sleep(50);
-  assert.ok(schedulers[0].received.includes(METHODS.release));
-  stop();
+  await waitFor(() => schedulers[0].received.includes(METHODS.release));
 });
 
-test('a decision with a helper in an evacuated data centre is not used', async () => {
-  const { schedulers, placer, view, stop } = await startPlacer();
+test('a decision with a helper in an evacuated data centre is not used', async (context) => {
+  const { schedulers, placer, view } = await startPlacer(context);
   const helper = { id: 'f', bornAt: 1, sequence: 1, service: 's', address: 'b:1', capacity: 4 };
   view.upstreamTable.merge({ ...helper, dataCentre: 'x', state: 'ready' });
   view.updateEvacuations({ revision: 1, dataCentres: ['x'] });
@@ -247,14 +245,12 @@
   });
   const placement = await placer.place(REQUEST, new AbortController().signal);
   assert.deepEqual(placement.kind === 'placed' && placement.helpers, []);
-  stop();
 });
 
-test('schedulers are not asked while all upstreams are in evacuated data centres', async () => {
-  const { schedulers, placer, view, stop } = await startPlacer();
+test('schedulers are not asked while all upstreams are in evacuated data centres', async (context) => {
+  const { schedulers, placer, view } = await startPlacer(context);
   view.updateEvacuations({ revision: 1, dataCentres: ['d'] });
   const placement = await placer.place(REQUEST, new AbortController().signal);
   assert.equal(placement.kind, 'refused');
   assert.ok(!schedulers[0].received.includes(METHODS.place));
-  stop();
 });
