Accept documents of the expected size with any memory

Cause: one body was bounded by 1/32 of the memory, so a control process with less than 128 MB would have refused the documents of 4 MB that are expected.

Change: the bound is at least 5 MiB.

No test has a process with so little memory.

--- a/packages/gateway/src/control/ControlNode.ts
+++ b/packages/gateway/src/control/ControlNode.ts
@@ -77,6 +77,8 @@
 /** Share of the memory of the process for bodies of requests of operators and upstreams. */
 const BODY_MEMORY_SHARE = 0.125;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Size of a body that is accepted with any memory; documents of up to 4 MB are expected. */
+const EXPECTED_BODY_BYTES = 5 * 1024 * 1024;
 /** Share of the memory for one body; reading a document takes several times its size. */
 const MAX_BODY_SHARE = 1 / 32;
 /** Number of applied entries between snapshots. */
@@ -180,7 +182,10 @@
       control: this,
       ingress: createIngress({ name: 'operators', settings, logger, limits: { maxAhead: 1 } }),
       bodyMemory: new MemoryBudget({ maxBytes: memoryBytes * BODY_MEMORY_SHARE }),
-      maxBodyBytes: Math.min(MAX_BODY_BYTES, memoryBytes * MAX_BODY_SHARE),
+      maxBodyBytes: Math.min(
+        MAX_BODY_BYTES,
+        Math.max(EXPECTED_BODY_BYTES, memoryBytes * MAX_BODY_SHARE),
+      ),
       logger,
     });
     this.addHandlers();
