Leave engines with any limit out of the comparison

Cause: observePlacement asked for what an engine has named, by way of the choices' hasLimit; other limits that the limiter knows explain a delay as well. Change: it asks the limiter.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -506,7 +506,7 @@
   private observePlacement(job: EngineJob, load: EngineLoad, expectedMs: number): void {
     const { id, capacity } = load.engine;
     const isCold = this.options.now() < (this.comparableFrom.get(id) ?? 0);
-    if (isCold || this.hasLimit(load)) return;
+    if (isCold || this.limiter.getLimit(id) !== undefined) return;
     this.observer?.recordPlacement(job.id, {
       engine: id,
       kind: this.isLong(job) ? 'long' : 'short',
