--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -99,15 +99,17 @@
   }
 
   /**
-   * Treats the upstreams of a data centre as cold until each has announced itself again, for a time
-   * at most. To be called when they may have become cold unseen, such as after an evacuation.
+   * Treats upstreams as cold until each has announced itself again, for a time at most. To be called
+   * when they may have become cold unseen, such as after an evacuation or a broken connection.
    */
-  assumeCold(dataCentre: string, durationMs = DEFAULT_ASSUMED_COLD_MS): void {
+  assumeCold(
+    isAffected: (record: UpstreamRecord) => boolean,
+    durationMs = DEFAULT_ASSUMED_COLD_MS,
+  ): void {
     const until = this.options.now() + durationMs;
-    for (const record of this.records.values()) {
-      const isCovered = record.dataCentre !== dataCentre || getColdUntil(record) >= until;
-      if (!isCovered) record.coldMs = until - record.lastSeenAt;
-    }
+    for (const record of this.records.values())
+      if (isAffected(record) && getColdUntil(record) < until)
+        record.coldMs = until - record.lastSeenAt;
   }
 
   getUpstream(id: string): UpstreamRecord | undefined {
--- a/packages/discovery/tests/UpstreamTable.test.ts
+++ b/packages/discovery/tests/UpstreamTable.test.ts
@@ -186,7 +186,7 @@
   table.merge(createAnnouncement({ coldMs: 0 }));
   table.merge(createAnnouncement(other));
   clock.now += 1000;
-  table.assumeCold('d', 2000);
+  table.assumeCold(({ dataCentre }) => dataCentre === 'd', 2000);
   assert.ok(table.getColdMs('a') >= 2000);
   assert.equal(table.getColdMs('b'), 0);
   clock.now += 500;
@@ -199,7 +199,7 @@
 test('an assumed cold time ends without an announcement', () => {
   const { clock, table } = createClockedTable();
   table.merge(createAnnouncement());
-  table.assumeCold('d', 2000);
+  table.assumeCold(({ dataCentre }) => dataCentre === 'd', 2000);
   clock.now += 2200;
   assert.equal(table.getColdMs('a'), 0);
 });
--- a/packages/gateway/src/control/PlacementService.ts
+++ b/packages/gateway/src/control/PlacementService.ts
@@ -161,6 +161,7 @@
       profile,
       now: () => performance.now(),
       onDecided: (id, decision) => this.sendDecision(id, decision),
+      onBroken: (engine) => this.options.table.assumeCold(({ id }) => id === engine),
       poison: this.options.findings.poison,
       limiter: this.limiter,
     });
--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -350,6 +350,7 @@
         beginHandover: () => handover.begin(),
       }).run();
       if (!context.signal.aborted) ending = getEnding(outcome);
+      if (ending === 'broken') statements.recordBreak(upstream);
       if (outcome.kind === 'unknown' && context.lastEventId === lastEventId)
         await this.recordCrash(context, upstream, sentAt);
       if (outcome.kind === 'notRun')
--- a/packages/gateway/src/entry/UpstreamStatements.ts
+++ b/packages/gateway/src/entry/UpstreamStatements.ts
@@ -47,6 +47,14 @@
     this.backoffs.recordSend(getKey(upstream));
   }
 
+  /**
+   * Records an attempt that broke off. The upstream may have ended, and may be back under its id and
+   * cold before it has announced so.
+   */
+  recordBreak(upstream: UpstreamRecord): void {
+    this.options.view.upstreamTable.assumeCold(({ id }) => id === upstream.id);
+  }
+
   /** Gets the milliseconds for which an upstream wants no requests from this process; 0 if none. */
   getWaitMs(upstream: UpstreamRecord): number {
     return this.backoffs.isEmpty ? 0 : this.backoffs.getWaitMs(getKey(upstream));
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -64,7 +64,7 @@
     service.stop();
     server.close();
   };
-  return { service, findings, connectLink, place, stop };
+  return { service, findings, table, connectLink, place, stop };
 }
 
 test('releasing a running job places the next queued job', async () => {
@@ -117,3 +117,19 @@
   link.close();
   stop();
 });
+
+// Guards against a crowd at an engine that is back after a crash and has not announced itself yet.
+test('an engine that has broken off counts as cold until it announces itself', async () => {
+  const { table, connectLink, place, stop } = await startService();
+  const link = connectLink();
+  assert.equal(await place(link, '1'), 'placed');
+  assert.equal(table.getColdMs('e'), 0);
+  link.notify(METHODS.release, { id: '1', ending: 'broken' });
+  await place(link, '2');
+  assert.ok(table.getColdMs('e') > 0);
+  const { lastSeenAt, ...record } = table.getUpstream('e') ?? assert.fail();
+  table.merge({ ...record, sequence: 2, coldMs: 0 });
+  assert.equal(table.getColdMs('e'), 0);
+  link.close();
+  stop();
+});
--- a/packages/gateway/tests/entry/coldUpstreams.test.ts
+++ b/packages/gateway/tests/entry/coldUpstreams.test.ts
@@ -16,10 +16,10 @@
 };
 
 /** Starts upstreams and an entry process without a scheduler. */
-async function start(count: number, isInTouch = true) {
+async function start(count: number, isInTouch = true, script = respond) {
   const upstreams: ScriptedUpstream[] = [];
   for (let index = 0; index < count; index += 1)
-    upstreams.push(await ScriptedUpstream.start(respond));
+    upstreams.push(await ScriptedUpstream.start(script));
   const options = { coldRequestsPerSecond: COLD_PER_SECOND, isInTouch };
   return { upstreams, entry: await startEntry(upstreams, {}, options) };
 }
@@ -111,3 +111,28 @@
     entry.stop();
   }
 });
+
+// Guards against a crowd at an upstream that is back after a crash and has not announced itself yet.
+test('an upstream that has broken off counts as cold until it announces itself', async () => {
+  let isBroken = true;
+  const { upstreams, entry } = await start(1, true, (socket, request) => {
+    if (isBroken) socket.destroy();
+    else respond(socket, request);
+  });
+  const getReceived = (): number => upstreams[0]?.received.length ?? 0;
+  try {
+    await entry.send();
+    isBroken = false;
+    const before = getReceived();
+    const startedAt = performance.now();
+    await sendAll(entry, 12);
+    const seconds = Math.ceil((performance.now() - startedAt) / 1000);
+    assert.ok(getReceived() - before <= OWN_PER_SECOND * seconds, `${getReceived() - before}`);
+    announce(entry, 0);
+    const warmFrom = getReceived();
+    await sendAll(entry, 12);
+    assert.equal(getReceived() - warmFrom, 12);
+  } finally {
+    entry.stop();
+  }
+});
--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -29,6 +29,8 @@
   now: () => number;
   /** Called when a queued job is placed or refused. */
   onDecided: (id: string, decision: EngineDecision) => void;
+  /** Called when a job has ended because its engine broke off or was unreachable. */
+  onBroken?: (engine: string) => void;
   /** Evidence about prompt parts that end engines; without it, none is known. */
   poison?: PoisonTable;
   /** Limits that engines have named; without it, they have none. */
@@ -198,6 +200,7 @@
     for (const [engine, load] of this.loads) {
       const isOwn = load.remove(id);
       if (isOwn) this.health.recordEnding(engine, id, faultyHelperId ? 'orderly' : ending, now);
+      if (isOwn && !faultyHelperId && ending === 'broken') this.options.onBroken?.(engine);
       load.remove(getHelperJobId(id));
     }
     this.decideQueued();
