--- a/packages/gateway/src/entry/RequestHandler.ts
+++ b/packages/gateway/src/entry/RequestHandler.ts
@@ -357,6 +357,7 @@
       }).run();
       if (outcome.kind === 'done') this.recordDuration(context, upstream, sentAt);
       if (!context.signal.aborted) ending = getEnding(outcome);
+      if (ending === 'broken') statements.recordBreak(upstream);
       if (outcome.kind === 'unknown' && context.lastEventId === lastEventId)
         await this.recordCrash(context, upstream, sentAt);
       if (outcome.kind === 'notRun')
--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -176,3 +176,19 @@
   link.close();
   stop();
 });
+
+// Guards against a crowd at an engine that is back after a crash and has not announced itself yet.
+test('an engine that has broken off counts as cold until it announces itself', async () => {
+  const { table, connectLink, place, stop } = await startService();
+  const link = connectLink();
+  assert.equal(await place(link, '1'), 'placed');
+  assert.equal(table.getColdMs('e'), 0);
+  link.notify(METHODS.release, { id: '1', ending: 'broken' });
+  await place(link, '2');
+  assert.ok(table.getColdMs('e') > 0);
+  const { lastSeenAt, ...record } = table.getUpstream('e') ?? assert.fail();
+  table.merge({ ...record, sequence: 2, coldMs: 0 });
+  assert.equal(table.getColdMs('e'), 0);
+  link.close();
+  stop();
+});
