--- a/packages/discovery/src/UpstreamTable.ts
+++ b/packages/discovery/src/UpstreamTable.ts
@@ -146,8 +146,9 @@
   setEvacuated(dataCentres: string[]): void {
     const previous = this.evacuated;
     this.evacuated = new Set(dataCentres);
-    for (const dataCentre of previous)
-      if (!this.evacuated.has(dataCentre)) this.assumeCold(dataCentre);
+    this.assumeCold(
+      ({ dataCentre }) => previous.has(dataCentre) && !this.evacuated.has(dataCentre),
+    );
   }
 
   /** Returns true if an upstream is known and may get new requests. */
