Prefill with fewer engines than wanted, refuse large prompts only when they find no place

Cause: a prompt that wanted more engines than had room waited although fewer would have been in time, and one larger than the demand of four seconds was refused by engines that were idle.

--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -152,8 +152,6 @@
     };
     if (this.isLong(job)) this.longPromptDemand.recordArrival(this.getEngineMs(job));
     else this.spareCapacity.recordArrival(job.priority);
-    if (this.isTooLarge(job))
-      return this.refuse(job, 'larger than what engines can serve now', OVERLOAD_RETRY_MS);
     const decision =
       this.mustWaitForMultiEngineJob(waiting, now) || this.mustWaitForLimits(job)
         ? QUEUED
@@ -323,6 +321,8 @@
       return this.refuse(job, 'the prompt exceeds the memory of all engines');
     if (remainingMs < prefillMs / engines + MIN_DECODE_MS)
       return this.refuse(job, 'the time left is too short');
+    if (this.isTooLarge(job))
+      return this.refuse(job, 'larger than what engines can serve now', OVERLOAD_RETRY_MS);
     const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
     if (isFirstAttempt(job) && prefillMs / engines > slackMs)
       return this.refuse(job, 'too few engines to be on time', LATE_RETRY_MS);
--- a/packages/scheduling/src/engines/choices/choosePrefillEngines.ts
+++ b/packages/scheduling/src/engines/choices/choosePrefillEngines.ts
@@ -29,7 +29,7 @@
   const partTokens = Math.ceil(job.promptTokens / holders);
   const canHold = (load: EngineLoad): boolean =>
     load.heldTokens + Math.min(partTokens, maxHeldTokens) <= maxHeldTokens;
-  for (let parts = Math.max(least, holders); parts <= most; parts += 1) {
+  for (const parts of getPartCounts(Math.max(least, holders), most, holders)) {
     const partMs = prefillMs / parts;
     const fitting = reliable.filter(
       (load) =>
@@ -53,6 +53,13 @@
   return undefined;
 }
 
+/** Gets numbers of parts: as many as are wanted or more, then fewer, which may still be in time. */
+function getPartCounts(wanted: number, most: number, fewest: number): number[] {
+  const more = Array.from({ length: Math.max(0, most - wanted + 1) }, (_, index) => wanted + index);
+  const fewer = Array.from({ length: wanted - fewest }, (_, index) => wanted - 1 - index);
+  return [...more, ...fewer.filter((count) => count <= most)];
+}
+
 /**
  * Sorts engines: those with a limit, which turn away few short prompts meanwhile, then those without
  * short prompts, then those in the data centre of the caller. Idle engines are spared while they are
