--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -341,7 +341,7 @@
   const { scheduler, clock } = createScheduler(8);
   clock.now = 5000;
   const small = { ...LONG, promptTokens: 100_000 };
-  const fields = { ...LONG, remainingMs: 30_000, objectiveMs: 12_000 };
+  const fields = { ...LONG, remainingMs: 30_000 };
   ['a', 'b'].forEach((id) => scheduler.place(createJob(id, small)));
   assert.notEqual(
     scheduler.place(createJob('l', { ...fields, promptTokens: 400_000 })).kind,
