Keep two tests of the gateway from racing with a busy machine

Cause: 'the request to the upstream is aborted when the client disconnects' left 80 ms after it began; at a load of 26 the upstream had not got the request yet, and nothing was there to abort (0 closed connections, 1 expected; once). 'releasing a running job places the next queued job' took the first notification of any kind as the decision; the list of engines sent once a second can come first (seen once by its author's reading, then the file hung). Change: the client leaves once the upstream has the request; the test waits for the decision and also demands that it is a placement. The bounds are as before.

--- a/packages/gateway/tests/control/PlacementService.test.ts
+++ b/packages/gateway/tests/control/PlacementService.test.ts
@@ -68,16 +68,27 @@
   return { service, table, findings, connectLink, place, stop };
 }
 
+/** Gets the next decision on a queued job that arrives on a link. */
+function awaitDecision(link: Link): Promise<QueuedJobDecision> {
+  return new Promise((resolve) => {
+    link.subscribe(({ method, body }) => {
+      if (method === METHODS.placed) resolve(body as QueuedJobDecision);
+    });
+  });
+}
+
 test('releasing a running job places the next queued job', async () => {
   const { connectLink, place, stop } = await startService();
   const link = connectLink();
   assert.equal(await place(link, '1'), 'placed');
   assert.equal(await place(link, '2'), 'queued');
-  const decidedId = new Promise((resolve) => {
-    link.subscribe(({ body }) => resolve((body as { id: string }).id));
-  });
+  const decision = awaitDecision(link);
   link.notify(METHODS.release, { id: '1' });
-  assert.equal(await decidedId, '2');
+  const {
+    id,
+    decision: { kind },
+  } = await decision;
+  assert.deepEqual([id, kind], ['2', 'placed']);
   link.close();
   stop();
 });
@@ -119,15 +130,6 @@
   stop();
 });
 
-/** Gets the next decision on a queued job that arrives on a link. */
-function awaitDecision(link: Link): Promise<QueuedJobDecision> {
-  return new Promise((resolve) => {
-    link.subscribe(({ method, body }) => {
-      if (method === METHODS.placed) resolve(body as QueuedJobDecision);
-    });
-  });
-}
-
 test('a job that waits for an evacuated data centre is placed in another one', async () => {
   const { service, table, connectLink, place, stop } = await startService();
   const link = connectLink();
--- a/packages/gateway/tests/entry/requests.test.ts
+++ b/packages/gateway/tests/entry/requests.test.ts
@@ -155,9 +155,13 @@
 });
 
 test('the request to the upstream is aborted when the client disconnects', async () => {
-  const upstreams = await start(() => undefined);
+  let onReceived = (): void => undefined;
+  const received = new Promise<void>((resolve) => {
+    onReceived = resolve;
+  });
+  const upstreams = await start(() => onReceived());
   const entry = await startEntry(upstreams, { timeoutMs: 5000 });
-  await assert.rejects(entry.send({}, { disconnectAfterMs: 80 }));
+  await assert.rejects(entry.send({}, { disconnectOn: received }));
   await sleep(200);
   entry.stop();
   assert.equal(upstreams[0]?.closed, 1);
--- a/packages/gateway/tests/entry/startEntry.ts
+++ b/packages/gateway/tests/entry/startEntry.ts
@@ -90,7 +90,7 @@
 export interface TestEntry {
   send(
     headers?: Record<string, string>,
-    options?: { disconnectAfterMs?: number },
+    options?: { disconnectOn?: Promise<void> },
   ): Promise<ClientResponse>;
   stop(): void;
   port: number;
@@ -204,7 +204,7 @@
     port,
     requestMemory,
     view,
-    send: (headers = {}, { disconnectAfterMs } = {}) => send(port, headers, disconnectAfterMs),
+    send: (headers = {}, { disconnectOn } = {}) => send(port, headers, disconnectOn),
     stop: () => {
       server.close();
       server.closeAllConnections();
@@ -283,7 +283,7 @@
 function send(
   port: number,
   headers: Record<string, string>,
-  disconnectAfterMs: number | undefined,
+  disconnectOn: Promise<void> | undefined,
 ): Promise<ClientResponse> {
   return new Promise((resolve, reject) => {
     const request = openRequest({
@@ -311,6 +311,6 @@
       response.on('end', finish);
     });
     request.end('body');
-    if (disconnectAfterMs !== undefined) setTimeout(() => request.destroy(), disconnectAfterMs);
+    disconnectOn?.then(() => request.destroy());
   });
 }
