--- a/packages/scheduling/src/engines/EngineScheduler.ts
+++ b/packages/scheduling/src/engines/EngineScheduler.ts
@@ -58,6 +58,8 @@
 const MAX_RETRY_SHARE = 1 / 3;
 /** Retry delay in milliseconds of prompts that find no turn, as bursts outlast shorter ones. */
 const OVERLOAD_RETRY_MS = 3000;
+/** Retry delay in milliseconds of prompts that engines cannot serve on time in the time left. */
+const LATE_RETRY_MS = 1500;
 /** Milliseconds in which the short prompts on an engine usually end. */
 const DRAIN_MS = 1500;
 /** Maximum number of engines that short prompts leave to long ones. */
@@ -362,16 +364,23 @@
 
   /** Queues a prompt that needs several engines while it can still be served, else refuses it. */
   private queueMultiEngineJob(
-    { job }: WaitingJob,
+    waiting: WaitingJob,
     prefillMs: number,
     remainingMs: number,
     maxHeldTokens: number,
   ): EngineDecision {
+    const { job, arrivedAt } = waiting;
+    const now = this.options.now();
     const engines = Math.min(MAX_ENGINES_PER_PROMPT, this.loads.size);
     if (engines * maxHeldTokens < job.promptTokens)
       return this.refuse(job, 'the prompt exceeds the memory of all engines');
     if (remainingMs < prefillMs / engines + MIN_DECODE_MS)
       return this.refuse(job, 'the time left is too short');
+    if (this.isTooLarge(job))
+      return this.refuse(job, 'larger than what engines can serve now', OVERLOAD_RETRY_MS);
+    const slackMs = arrivedAt + job.objectiveMs * OBJECTIVE_SHARE - now;
+    if (isFirstAttempt(job) && prefillMs / engines > slackMs)
+      return this.refuse(job, 'too few engines to be on time', LATE_RETRY_MS);
     return { kind: 'queued' };
   }
 
@@ -437,6 +446,24 @@
     return this.model.getPrefillMs(promptTokens) + DRAIN_MS;
   }
 
+  /**
+   * Returns true when more long prompts arrive than engines can serve, and a new one that needs
+   * several of them is larger than those that can be served together.
+   */
+  private isTooLarge(job: EngineJob): boolean {
+    if (!isFirstAttempt(job) || !this.needsMultipleEngines(job)) return false;
+    const engines = this.getLongPromptEngines();
+    return this.getEngineMs(job) > this.longPromptDemand.getLargestMs(engines);
+  }
+
+  /** Gets the number of engines that short prompts leave to long ones. */
+  private getLongPromptEngines(): number {
+    const loads = [...this.loads.values()];
+    const slots = loads.reduce((sum, { engine }) => sum + engine.capacity, 0);
+    const used = loads.reduce((sum, { shortPromptCount }) => sum + shortPromptCount, 0);
+    return loads.length * (1 - used / Math.max(1, slots));
+  }
+
   /**
    * Gets how much short prompts are to be packed, from 0 while enough engines are idle for the long
    * prompts that usually arrive, to 1 without idle engines.
@@ -682,6 +709,11 @@
   return candidates.filter(({ size }) => size === fewest);
 }
 
+/** Returns true for a job that no engine has failed, whose client may come back after a refusal. */
+function isFirstAttempt({ excluded, isResumption }: EngineJob): boolean {
+  return excluded.length === 0 && !isResumption;
+}
+
 /** Gets the time by which the first event is due to meet the objective. */
 function getFirstEventDueAt({ job, arrivedAt }: WaitingJob): number {
   return arrivedAt + job.objectiveMs;
--- a/packages/scheduling/src/engines/LongPromptDemand.ts
+++ b/packages/scheduling/src/engines/LongPromptDemand.ts
@@ -33,4 +33,20 @@
       this.totalMs -= this.arrivals.shift()?.engineMs ?? 0;
     return this.totalMs / WINDOW_MS;
   }
+
+  /**
+   * Gets the time of the largest prompts that a number of engines can serve beside all smaller ones.
+   */
+  getLargestMs(engineCount: number): number {
+    const demand = this.getEngineCount();
+    if (demand <= engineCount || demand === Infinity) return Infinity;
+    let leftMs = engineCount * WINDOW_MS;
+    let largestMs = 0;
+    for (const { engineMs } of [...this.arrivals].sort((x, y) => x.engineMs - y.engineMs)) {
+      leftMs -= engineMs;
+      if (leftMs < 0) break;
+      largestMs = engineMs;
+    }
+    return largestMs;
+  }
 }
--- a/packages/scheduling/tests/engines/EngineScheduler.test.ts
+++ b/packages/scheduling/tests/engines/EngineScheduler.test.ts
@@ -336,19 +336,22 @@
   assert.equal(new Set(delays).size, delays.length);
 });
 
-// Guards against refusals of the prompts that are worth most, which are worth something late as well.
-test('long prompts are not refused for their size while they can be served', () => {
+// Guards against the few largest prompts that take the engines of many smaller ones.
+test('while more long prompts arrive than fit, the largest new ones are refused at once', () => {
   const { scheduler, clock } = createScheduler(8);
   clock.now = 5000;
   const small = { ...LONG, promptTokens: 100_000 };
   const fields = { ...LONG, remainingMs: 30_000 };
   ['a', 'b'].forEach((id) => scheduler.place(createJob(id, small)));
-  for (const [id, promptTokens] of [
-    ['l', 400_000],
-    ['m', 600_000],
-  ] as const)
-    assert.notEqual(scheduler.place(createJob(id, { ...fields, promptTokens })).kind, 'refused');
+  assert.notEqual(
+    scheduler.place(createJob('l', { ...fields, promptTokens: 400_000 })).kind,
+    'refused',
+  );
+  const larger = { ...fields, promptTokens: 600_000 };
+  const decision = scheduler.place(createJob('m', larger));
+  assert.ok(decision.kind === 'refused' && decision.retryAfterMs >= 3000);
   assert.notEqual(scheduler.place(createJob('c', small)).kind, 'refused');
+  assert.notEqual(scheduler.place(createJob('n', { ...larger, excluded: ['e9'] })).kind, 'refused');
 });
 
 /** Events after the first one, per answer. */
