--- a/review/stand-2.mjs
+++ b/review/stand-2.mjs
@@ -39,10 +39,10 @@
 const CALL_TIMEOUT_MS = 1000;
 const LIMITS = { MemoryMb: 350, MaxFds: 4100 };
 
-/** Writes what happens to `record.txt`, with the seconds since the start of the script. */
+/** Writes what happens to a file, with the seconds since the start of the script. */
 export class Recorder {
-  constructor(folder) {
-    this.file = join(folder, 'record.txt');
+  constructor(file) {
+    this.file = file;
     this.startedAt = performance.now();
     writeFileSync(this.file, '');
   }
@@ -444,29 +444,30 @@
 }
 
 /**
- * Runs a case: exits with 1 if it returns false, 0 if true, and 2 if it could not run. The case gets
- * the recorder and whether the disruption is to be made.
+ * Runs a case: exits with 1 if it returns false, 0 if true, and 2 if it could not run.
+ * @param recordFile - Path of the record.
+ * @param play - Gets the recorder, and a function that adds what is to be ended in any case.
  */
-export async function runCase(folder, play) {
-  const recorder = new Recorder(folder);
-  const hasTrouble = process.env.TROUBLE !== '0';
+export async function runCase(recordFile, play) {
+  const recorder = new Recorder(recordFile);
   const cleanups = [];
-  const endAll = async () => {
-    for (const cleanup of cleanups.reverse()) await cleanup();
+  const end = async (status) => {
+    for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+    recorder.write(`exit ${status}`);
+    process.exit(status);
   };
-  const limit = setTimeout(() => {
-    recorder.write('the case takes too long');
-    endAll().finally(() => process.exit(2));
-  }, 115_000);
-  let status = 2;
+  const giveUp = (reason) => {
+    recorder.write(`the case could not run: ${reason}`);
+    end(2).catch(() => process.exit(2));
+  };
+  process.on('uncaughtException', (error) => giveUp(error.stack));
+  process.on('unhandledRejection', (error) => giveUp(error?.stack ?? error));
+  ['SIGTERM', 'SIGINT'].forEach((name) => process.once(name, () => giveUp(name)));
+  setTimeout(() => giveUp('it takes too long'), 115_000).unref();
   try {
-    const isKept = await play({ recorder, hasTrouble, onEnd: (each) => cleanups.push(each) });
-    status = isKept ? 0 : 1;
+    const isKept = await play({ recorder, onEnd: (each) => cleanups.push(each) });
+    await end(isKept ? 0 : 1);
   } catch (error) {
-    recorder.write(`the case could not run: ${error.stack}`);
+    giveUp(error.stack);
   }
-  clearTimeout(limit);
-  await endAll();
-  recorder.write(`exit ${status}`);
-  process.exit(status);
 }
